--- /dev/null
+++ b/config/src/main/kotlin/dev/lycheehill/config/model/Priority.kt
@@ -0,0 +1,7 @@
+package dev.lycheehill.config.model
+
+import kotlinx.serialization.Serializable
+
+/** Priority of the calls of a route. Under overload, calls of lower priority are shed first. */
+@Serializable
+enum class Priority { HIGH, NORMAL, LOW }
