--- /dev/null
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/MemberRecord.kt
@@ -0,0 +1,25 @@
+package dev.lycheehill.fleet.membership
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One node and the target beside it.
+ *
+ * @property incarnation raised only by the node itself; the record with the higher one wins.
+ * @property service name of the target's service; empty until the target has announced itself.
+ * @property controlAddress `ip:port` of the node's link to other nodes.
+ * @property dataAddress `ip:port` where the node accepts calls for its target.
+ * @property slots calls that the target can run at a time.
+ */
+@Serializable
+data class MemberRecord(
+    val nodeId: String,
+    val incarnation: Long,
+    val state: MemberState,
+    val zone: String,
+    val region: String,
+    val service: String = "",
+    val controlAddress: String,
+    val dataAddress: String,
+    val slots: Int = 0,
+)
