Add the interfaces of verdicts, target choice and admission

Cause: the data path is built at the same time and needs the interfaces of call decisions. Change: attempt stages and their verdicts, deadline, retry budget, call tree allowance and retry policy; the interfaces TargetPicker and AdmissionControl with the baselines RoundRobinPicker and NoLimitAdmission. Conclusion: callers can be written against these types; the chosen implementations follow.

--- /dev/null
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/AdmissionCall.kt
@@ -0,0 +1,24 @@
+package dev.lycheehill.calls.admission
+
+import dev.lycheehill.calls.verdict.Deadline
+
+/**
+ * One call at the target's node. One instance is offered once; it is compared by identity.
+ *
+ * @property route name of the route, for learned cost classes.
+ * @property sizeBytes size of the request body, for learned cost classes.
+ * @property listener told when a queued call starts or is dropped.
+ */
+open class AdmissionCall(
+    val route: String,
+    val priority: CallPriority,
+    val cost: CallCost,
+    val sizeBytes: Int,
+    val deadline: Deadline,
+    val listener: AdmissionListener,
+) {
+    internal var state = AdmissionState.NEW
+    internal var long = false
+    internal var queuedAtNanos = 0L
+    internal var startedAtNanos = 0L
+}
--- /dev/null
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/AdmissionState.kt
@@ -0,0 +1,3 @@
+package dev.lycheehill.calls.admission
+
+internal enum class AdmissionState { NEW, QUEUED, RUNNING, DONE }
--- /dev/null
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/NoLimitAdmission.kt
@@ -0,0 +1,39 @@
+package dev.lycheehill.calls.admission
+
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Baseline: admits each call at once. */
+class NoLimitAdmission : AdmissionControl {
+    private val running = AtomicInteger()
+
+    override val inFlight: Int get() = running.get()
+    override val queued: Int get() = 0
+
+    override fun offer(
+        call: AdmissionCall,
+        nowNanos: Long,
+    ): AdmissionResult {
+        running.incrementAndGet()
+        return AdmissionResult.Admitted
+    }
+
+    override fun onFinish(
+        call: AdmissionCall,
+        nowNanos: Long,
+        succeeded: Boolean,
+    ) {
+        running.decrementAndGet()
+    }
+
+    override fun cancel(
+        call: AdmissionCall,
+        nowNanos: Long,
+    ): Boolean = false
+
+    override fun onTick(nowNanos: Long) = Unit
+
+    override fun setSlots(
+        slots: Int,
+        nowNanos: Long,
+    ) = Unit
+}
--- /dev/null
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/RejectReason.kt
@@ -0,0 +1,11 @@
+package dev.lycheehill.calls.admission
+
+/** Why a call was not admitted; [headerValue] is sent in `lycheehill-reason`. */
+enum class RejectReason(
+    val headerValue: String,
+) {
+    QUEUE_FULL("queue-full"),
+    QUEUE_TIME("queue-time"),
+    DEADLINE("deadline"),
+    DRAINING("draining"),
+}
--- /dev/null
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/balancing/LoadReport.kt
@@ -0,0 +1,12 @@
+package dev.lycheehill.calls.balancing
+
+/**
+ * Load that a target's node put on a response.
+ *
+ * @property inFlight calls that the target runs for all callers together.
+ * @property latencyNanos mean duration of the target's recent calls; 0 when unknown.
+ */
+data class LoadReport(
+    val inFlight: Int,
+    val latencyNanos: Long = 0,
+)
--- /dev/null
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/verdict/BudgetedRetryPolicy.kt
@@ -0,0 +1,47 @@
+package dev.lycheehill.calls.verdict
+
+import dev.lycheehill.core.Verdict
+
+/** Retries elsewhere within the attempts, the deadline, the call tree's allowance and the budget of the service. */
+class BudgetedRetryPolicy(
+    private val budget: RetryBudget = RetryBudget(),
+    private val defaultRetryAfterMs: Long = 1_000,
+) : RetryPolicy {
+    override fun onCall(nowNanos: Long) = budget.onCall(nowNanos)
+
+    override fun decide(
+        attempt: FailedAttempt,
+        nowNanos: Long,
+    ): RetryDecision {
+        val reason = giveUpReason(attempt, nowNanos)
+        return if (reason == null) RetryDecision.Elsewhere(delayMs = 0) else final(attempt, reason)
+    }
+
+    // The budget is asked before the allowance, and a unit taken from the budget is not returned when the allowance
+    // is used up concurrently: that can only make retries fewer.
+    private fun giveUpReason(
+        attempt: FailedAttempt,
+        nowNanos: Long,
+    ): GiveUpReason? =
+        when {
+            attempt.verdict == Verdict.RAN -> GiveUpReason.ANSWERED
+            attempt.verdict == Verdict.MAY_HAVE_RUN && !attempt.idempotent -> GiveUpReason.MAY_HAVE_RUN
+            !attempt.repeatable -> GiveUpReason.REFUSED
+            attempt.deadline.isExpired(nowNanos) -> GiveUpReason.DEADLINE
+            attempt.number >= attempt.maxAttempts -> GiveUpReason.ATTEMPTS
+            attempt.allowance.left <= 0 -> GiveUpReason.ALLOWANCE
+            !budget.tryRetry(nowNanos) -> GiveUpReason.BUDGET
+            !attempt.allowance.takeOne() -> GiveUpReason.ALLOWANCE
+            else -> null
+        }
+
+    // The caller is told to try again only when the request did not run or may run twice.
+    private fun final(
+        attempt: FailedAttempt,
+        reason: GiveUpReason,
+    ): RetryDecision.Final {
+        val mayRepeat = attempt.verdict != Verdict.RAN && (attempt.verdict == Verdict.NOT_RUN || attempt.idempotent)
+        val hint = attempt.retryAfterMs ?: defaultRetryAfterMs
+        return RetryDecision.Final(attempt.verdict, reason, hint.takeIf { mayRepeat && attempt.repeatable })
+    }
+}
