--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -0,0 +1,103 @@
+package dev.lycheehill.node
+
+import dev.lycheehill.calls.verdict.CallTreeAllowances
+import dev.lycheehill.core.time.Subscription
+import dev.lycheehill.core.time.TimerService
+import dev.lycheehill.fleet.FleetView
+import dev.lycheehill.node.egress.EgressEnvironment
+import dev.lycheehill.node.egress.EgressHandler
+import dev.lycheehill.node.egress.ServiceTable
+import dev.lycheehill.node.ingress.IngressEnvironment
+import dev.lycheehill.node.ingress.IngressHandler
+import dev.lycheehill.node.loop.LoopContexts
+import dev.lycheehill.node.loop.Transport
+import dev.lycheehill.node.policy.BaselinePolicies
+import dev.lycheehill.node.policy.CallPolicies
+import dev.lycheehill.node.routing.EndpointIndex
+import dev.lycheehill.node.routing.Router
+import dev.lycheehill.node.target.LocalTarget
+import io.netty.channel.EventLoopGroup
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+
+/**
+ * The data path of one node: a listener for callers, one for other nodes, and the target beside it.
+ *
+ * The order of use is [start], [drain], [stop]; [kill] ends the node at any time as a crash would.
+ */
+class LycheehillNode(
+    private val settings: DataPathSettings,
+    private val fleet: FleetView,
+    private val timers: TimerService,
+    policies: CallPolicies = BaselinePolicies,
+    transport: Transport = Transport.best(),
+) {
+    /** The backend server beside this node. */
+    val target = LocalTarget(fleet, timers)
+
+    private val group: EventLoopGroup = transport.newGroup(settings.eventLoops, "lycheehill-data")
+    private val loops = LoopContexts(group, transport, settings)
+    private val allowances = CallTreeAllowances()
+    private val services = ServiceTable(policies, fleet.self.zone, settings.seed)
+    private val admission = policies.newAdmission(slots = 1, maxQueue = 40)
+    private val egress = DataPathServer(settings, transport, group, egressHandler())
+    private val ingress = DataPathServer(settings, transport, group, ingressHandler())
+    private var subscriptions = emptyList<Subscription>()
+
+    /** Address for callers. */
+    val egressAddress: InetSocketAddress get() = egress.address
+
+    /** Address for other nodes. */
+    val ingressAddress: InetSocketAddress get() = ingress.address
+
+    /** Binds the listeners and starts to serve. */
+    fun start() {
+        ingress.start(settings.ingressPort)
+        egress.start(settings.egressPort)
+        subscriptions =
+            listOf(
+                timers.every(LEASE_CHECK_MS) { target.checkLease() },
+                timers.every(ADMISSION_TICK_MS) { if (admission.queued > 0) admission.onTick(System.nanoTime()) },
+                timers.every(SWEEP_MS) { services.dropUnused(System.nanoTime(), UNUSED_NANOS) },
+            )
+    }
+
+    /** Refuses new work for the target as `not run`. Calls in flight continue, and callers of this node are served. */
+    fun drain() = target.drain()
+
+    /** Drains, waits for the calls in flight and ends the node. */
+    fun stop() {
+        drain()
+        ingress.closeWhenIdle()
+        egress.closeWhenIdle()
+        awaitIdle()
+        kill()
+    }
+
+    /** Ends the node at once and closes all connections. */
+    fun kill() {
+        subscriptions.forEach { it.cancel() }
+        ingress.closeNow()
+        egress.closeNow()
+        group.shutdownGracefully(0, KILL_WAIT_MS, TimeUnit.MILLISECONDS).await(KILL_WAIT_MS)
+    }
+
+    private fun awaitIdle() {
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.drainTimeoutMs)
+        while (System.nanoTime() < endNanos && !(ingress.isIdle && egress.isIdle)) Thread.sleep(IDLE_POLL_MS)
+    }
+
+    private fun egressHandler() =
+        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), Router(), services, allowances, loops))
+
+    private fun ingressHandler() = IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops))
+
+    private companion object {
+        const val LEASE_CHECK_MS = 500L
+        const val ADMISSION_TICK_MS = 10L
+        const val SWEEP_MS = 60_000L
+        const val KILL_WAIT_MS = 2_000L
+        const val IDLE_POLL_MS = 10L
+        val UNUSED_NANOS = TimeUnit.MINUTES.toNanos(10)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressAttempt.kt
@@ -0,0 +1,56 @@
+package dev.lycheehill.node.egress
+
+import dev.lycheehill.calls.balancing.AttemptOutcome
+import dev.lycheehill.calls.balancing.LoadReport
+import dev.lycheehill.calls.balancing.TargetHandle
+import dev.lycheehill.node.http.CallHeaders
+import dev.lycheehill.node.relay.CollectedResponse
+import dev.lycheehill.node.relay.CollectorListener
+import dev.lycheehill.node.relay.ResponseCollector
+import dev.lycheehill.node.upstream.ExchangeFailure
+import io.netty.handler.codec.http.HttpHeaders
+
+/** One attempt of an [EgressCall] at one target. It reports its own end to the picker. */
+internal class EgressAttempt(
+    private val owner: EgressCall,
+    val target: TargetHandle,
+    val lentRetries: Int,
+) : CollectorListener {
+    lateinit var collector: ResponseCollector
+
+    private val startNanos = System.nanoTime()
+    private var ended = false
+
+    val isSent: Boolean get() = collector.exchange.isSent
+
+    override fun onWhole(response: CollectedResponse) = owner.onWhole(this, response)
+
+    override fun onTooLong(collector: ResponseCollector) = owner.onTooLong(this)
+
+    override fun onFailure(failure: ExchangeFailure) = owner.onFailure(this, failure)
+
+    override fun onStreamed() = owner.onStreamed(this)
+
+    /** Gives up the attempt because its answer is not needed any more. */
+    fun cancel() {
+        collector.cancel()
+        end(AttemptOutcome.CANCELLED, null)
+    }
+
+    /** Reports the end of the attempt. [headers] are those of the response, if there was one. */
+    fun end(
+        outcome: AttemptOutcome,
+        headers: HttpHeaders?,
+    ) {
+        if (ended) return
+        ended = true
+        val now = System.nanoTime()
+        owner.service.picker.onFinish(target, now, now - startNanos, outcome, headers?.let(::loadOf))
+        headers?.get(CallHeaders.RETRIES_LEFT)?.toIntOrNull()?.let { owner.allowance.giveBack(minOf(it, lentRetries)) }
+    }
+
+    /** Returns the lent retries of an attempt that did not run. */
+    fun giveBackRetries() = owner.allowance.giveBack(lentRetries)
+
+    private fun loadOf(headers: HttpHeaders): LoadReport? = headers.get(CallHeaders.LOAD)?.let(LoadHeader::parse)
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -0,0 +1,243 @@
+package dev.lycheehill.node.egress
+
+import dev.lycheehill.calls.balancing.AttemptOutcome
+import dev.lycheehill.calls.verdict.Deadline
+import dev.lycheehill.calls.verdict.FailedAttempt
+import dev.lycheehill.calls.verdict.RetryAllowance
+import dev.lycheehill.calls.verdict.RetryDecision
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.node.http.CallHeaders
+import dev.lycheehill.node.http.HeaderRules
+import dev.lycheehill.node.http.InboundCall
+import dev.lycheehill.node.http.InboundCallListener
+import dev.lycheehill.node.http.NodeResponses
+import dev.lycheehill.node.loop.LoopContext
+import dev.lycheehill.node.relay.CollectedResponse
+import dev.lycheehill.node.relay.ResponseCollector
+import dev.lycheehill.node.routing.RouteDecision
+import dev.lycheehill.node.upstream.ExchangeFailure
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+
+/**
+ * One call of a caller, from its route to its response. It tries targets until one answers or the retry policy ends it.
+ *
+ * Used on the event loop of the caller's connection only.
+ */
+internal class EgressCall(
+    private val environment: EgressEnvironment,
+    private val loop: LoopContext,
+    private val call: InboundCall,
+    private val decision: RouteDecision,
+) : InboundCallListener {
+    val service: ServiceCalls = environment.services.of(decision.service)
+    val allowance: RetryAllowance =
+        environment.allowances.forChild(TraceIds.treeOf(call.headers), call.headers.get(CallHeaders.RETRIES_LEFT))
+
+    private val idempotent = decision.isIdempotent(call.method.name())
+    private val deadline =
+        Deadline.received(call.headers.get(CallHeaders.DEADLINE_MS), decision.timeoutMs.toLong(), System.nanoTime())
+    private val template = RequestTemplate(call, decision)
+    private val tried = ArrayList<String>(2)
+    private val running = ArrayList<EgressAttempt>(2)
+    private var attempts = 0
+    private var mayHaveRun = false
+    private var streaming: EgressAttempt? = null
+    private var timer: ScheduledFuture<*>? = null
+
+    fun start() {
+        val now = System.nanoTime()
+        call.listener = this
+        service.retries.onCall(now)
+        timer = loop.eventLoop.schedule(::onDeadline, deadline.remainingNanos(now), TimeUnit.NANOSECONDS)
+        attempt()
+    }
+
+    override fun onCallerGone() {
+        timer?.cancel(false)
+        cancelAllBut(null)
+    }
+
+    override fun onWritable() {
+        streaming?.collector?.resume()
+    }
+
+    fun onWhole(
+        attempt: EgressAttempt,
+        response: CollectedResponse,
+    ) {
+        running.remove(attempt)
+        when (Verdict.fromHeader(response.headers.get(CallHeaders.VERDICT))) {
+            Verdict.RAN -> answer(attempt, response)
+            Verdict.NOT_RUN -> refused(attempt, response)
+            Verdict.MAY_HAVE_RUN -> uncertain(attempt, response)
+        }
+    }
+
+    fun onTooLong(attempt: EgressAttempt) {
+        cancelAllBut(attempt)
+        streaming = attempt
+        val headers = attempt.collector.head.headers()
+        attempt.collector.streamTo(call, callerHeaders(headers, Verdict.RAN))
+    }
+
+    fun onStreamed(attempt: EgressAttempt) {
+        timer?.cancel(false)
+        attempt.end(AttemptOutcome.SUCCESS, attempt.collector.head.headers())
+    }
+
+    fun onFailure(
+        attempt: EgressAttempt,
+        failure: ExchangeFailure,
+    ) {
+        running.remove(attempt)
+        attempt.end(AttemptOutcome.FAILURE, null)
+        if (attempt === streaming) {
+            timer?.cancel(false)
+            call.abort()
+            return
+        }
+        if (failure.verdict == Verdict.NOT_RUN) attempt.giveBackRetries() else mayHaveRun = true
+        val status = if (failure.kind == ExchangeFailure.Kind.SILENT) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.BAD_GATEWAY
+        next(GivenUp(failure.verdict, status, failure.kind.reason))
+    }
+
+    private fun answer(
+        attempt: EgressAttempt,
+        response: CollectedResponse,
+    ) {
+        cancelAllBut(null)
+        timer?.cancel(false)
+        attempt.end(outcomeOf(response.status), response.headers)
+        call.respond(response.status, callerHeaders(response.headers, Verdict.RAN), response.body)
+    }
+
+    private fun refused(
+        attempt: EgressAttempt,
+        response: CollectedResponse,
+    ) {
+        response.body.release()
+        attempt.end(AttemptOutcome.SHED, response.headers)
+        attempt.giveBackRetries()
+        val retryAfterMs = response.headers.get(CallHeaders.RETRY_AFTER_MS)?.toLongOrNull()
+        next(GivenUp(Verdict.NOT_RUN, response.status, reasonOf(response.headers), response.status.code() != UNPROCESSABLE, retryAfterMs))
+    }
+
+    private fun uncertain(
+        attempt: EgressAttempt,
+        response: CollectedResponse,
+    ) {
+        response.body.release()
+        attempt.end(AttemptOutcome.FAILURE, response.headers)
+        mayHaveRun = true
+        next(GivenUp(Verdict.MAY_HAVE_RUN, response.status, reasonOf(response.headers), response.status != HttpResponseStatus.CONFLICT))
+    }
+
+    private fun attempt() {
+        val now = System.nanoTime()
+        if (deadline.isExpired(now)) {
+            giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline"), null)
+            return
+        }
+        service.refresh(environment.endpoints.targets(decision.service.name), now)
+        val target = service.picker.pick(now, tried)
+        if (target == null) {
+            giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.SERVICE_UNAVAILABLE, "no-target"), NO_TARGET_RETRY_MS)
+            return
+        }
+        attempts++
+        tried.add(target.info.id)
+        service.picker.onStart(target, now)
+        send(EgressAttempt(this, target, allowance.lend()), now)
+    }
+
+    private fun send(
+        attempt: EgressAttempt,
+        nowNanos: Long,
+    ) {
+        val remainingMs = deadline.remainingMs(nowNanos)
+        val callId = loop.nextCallId()
+        val collector = ResponseCollector(environment.settings.maxBufferedResponseBytes, callId, attempt)
+        attempt.collector = collector
+        running.add(attempt)
+        val head = template.head(callId, remainingMs, attempt.lentRetries, remainingMs)
+        val pool = loop.upstreams.pool(attempt.target.info.address)
+        collector.exchange = pool.send(head, call.body.retainedDuplicate(), remainingMs + PROGRESS_GRACE_MS, collector)
+    }
+
+    private fun next(outcome: GivenUp) {
+        if (running.isNotEmpty()) return
+        val failed =
+            FailedAttempt(
+                verdict = outcome.verdict,
+                idempotent = idempotent,
+                number = attempts,
+                maxAttempts = decision.route.maxAttempts,
+                deadline = deadline,
+                allowance = allowance,
+                repeatable = outcome.repeatable,
+                retryAfterMs = outcome.retryAfterMs,
+            )
+        when (val choice = service.retries.decide(failed, System.nanoTime())) {
+            is RetryDecision.Final -> giveUp(outcome, choice.retryAfterMs)
+            is RetryDecision.Elsewhere -> retryAfter(choice.delayMs)
+        }
+    }
+
+    private fun retryAfter(delayMs: Long) {
+        if (delayMs == 0L) attempt() else loop.eventLoop.schedule({ if (!call.isAnswered) attempt() }, delayMs, TimeUnit.MILLISECONDS)
+    }
+
+    private fun onDeadline() {
+        if (call.isAnswered && streaming == null) return
+        mayHaveRun = mayHaveRun || running.any { it.isSent }
+        cancelAllBut(null)
+        if (streaming != null) call.abort() else giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline"), null)
+    }
+
+    // An earlier attempt of an idempotent call may have run even if the last one did not.
+    private fun giveUp(
+        outcome: GivenUp,
+        retryAfterMs: Long?,
+    ) {
+        timer?.cancel(false)
+        val verdict = if (mayHaveRun) Verdict.MAY_HAVE_RUN else outcome.verdict
+        NodeResponses.giveUp(call, outcome.status, verdict, outcome.reason, decision.version, retryAfterMs)
+    }
+
+    private fun cancelAllBut(kept: EgressAttempt?) {
+        running.filter { it !== kept }.forEach { it.cancel() }
+        running.removeAll { it !== kept }
+    }
+
+    private fun callerHeaders(
+        source: HttpHeaders,
+        verdict: Verdict,
+    ): HttpHeaders {
+        val headers = HeaderRules.endToEnd(source)
+        headers.set(CallHeaders.VERDICT, verdict.headerValue)
+        headers.set(CallHeaders.VERSION, decision.version.toString())
+        source.get(CallHeaders.REASON)?.let { headers.set(CallHeaders.REASON, it) }
+        return headers
+    }
+
+    private fun reasonOf(headers: HttpHeaders): String = headers.get(CallHeaders.REASON) ?: "refused"
+
+    private fun outcomeOf(status: HttpResponseStatus): AttemptOutcome =
+        when {
+            status == HttpResponseStatus.SERVICE_UNAVAILABLE -> AttemptOutcome.SHED
+            status.code() >= FIRST_SERVER_ERROR -> AttemptOutcome.FAILURE
+            else -> AttemptOutcome.SUCCESS
+        }
+
+    private companion object {
+        const val UNPROCESSABLE = 422
+        const val FIRST_SERVER_ERROR = 500
+        const val NO_TARGET_RETRY_MS = 1_000L
+
+        // The target's node finds a silent backend server first and can then say so.
+        const val PROGRESS_GRACE_MS = 50L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
@@ -0,0 +1,19 @@
+package dev.lycheehill.node.egress
+
+import dev.lycheehill.calls.verdict.CallTreeAllowances
+import dev.lycheehill.fleet.FleetView
+import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.loop.LoopContexts
+import dev.lycheehill.node.routing.EndpointIndex
+import dev.lycheehill.node.routing.Router
+
+/** What all egress calls of a node share. */
+internal class EgressEnvironment(
+    val settings: DataPathSettings,
+    val fleet: FleetView,
+    val endpoints: EndpointIndex,
+    val router: Router,
+    val services: ServiceTable,
+    val allowances: CallTreeAllowances,
+    val loops: LoopContexts,
+)
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/GivenUp.kt
@@ -0,0 +1,13 @@
+package dev.lycheehill.node.egress
+
+import dev.lycheehill.core.Verdict
+import io.netty.handler.codec.http.HttpResponseStatus
+
+/** Response of a call whose latest attempt brought no usable answer, if it is not tried again. */
+internal class GivenUp(
+    val verdict: Verdict,
+    val status: HttpResponseStatus,
+    val reason: String,
+    val repeatable: Boolean = true,
+    val retryAfterMs: Long? = null,
+)
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/RequestTemplate.kt
@@ -0,0 +1,48 @@
+package dev.lycheehill.node.egress
+
+import dev.lycheehill.node.http.CallHeaders
+import dev.lycheehill.node.http.HeaderRules
+import dev.lycheehill.node.http.InboundCall
+import dev.lycheehill.node.routing.RouteDecision
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpVersion
+
+/** Makes the requests of the attempts of one call. */
+internal class RequestTemplate(
+    private val call: InboundCall,
+    private val decision: RouteDecision,
+) {
+    private val common: HttpHeaders = commonHeaders()
+
+    /** Returns the head for one attempt. */
+    fun head(
+        callId: String,
+        deadlineMs: Long,
+        retriesLeft: Int,
+        progressMs: Long,
+    ): HttpRequest {
+        val headers = HeaderRules.newHeaders().set(common)
+        headers.set(CallHeaders.CALL_ID, callId)
+        headers.set(CallHeaders.DEADLINE_MS, deadlineMs.toString())
+        headers.set(CallHeaders.RETRIES_LEFT, retriesLeft.toString())
+        headers.set(CallHeaders.PROGRESS_MS, progressMs.toString())
+        return DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri, headers)
+    }
+
+    private fun commonHeaders(): HttpHeaders {
+        val route = decision.route
+        val headers = HeaderRules.endToEnd(call.headers)
+        HeaderRules.setLength(headers, call)
+        headers.set(CallHeaders.VERSION, decision.version.toString())
+        headers.set(CallHeaders.ROUTE, route.name)
+        headers.set(CallHeaders.SERVICE, decision.service.name)
+        headers.set(CallHeaders.PRIORITY, route.priority.name)
+        headers.set(CallHeaders.COST, route.cost.name)
+        if (headers.contains(CallHeaders.IDEMPOTENCY_KEY)) headers.set(CallHeaders.KEY_DOMAIN, route.keyDomain ?: route.name)
+        if (!headers.contains(HttpHeaderNames.HOST)) headers.set(HttpHeaderNames.HOST, "")
+        return headers
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/ServiceCalls.kt
@@ -0,0 +1,42 @@
+package dev.lycheehill.node.egress
+
+import dev.lycheehill.calls.balancing.TargetInfo
+import dev.lycheehill.calls.balancing.TargetPicker
+import dev.lycheehill.calls.verdict.RetryPolicy
+import dev.lycheehill.fleet.membership.MemberRecord
+import dev.lycheehill.fleet.membership.MemberState
+
+/** What this node has learned about one service. Thread-safe. */
+internal class ServiceCalls(
+    val picker: TargetPicker,
+    val retries: RetryPolicy,
+) {
+    @Volatile
+    private var known: List<MemberRecord>? = null
+
+    @Volatile
+    var lastUsedNanos: Long = 0
+
+    /** Gives [targets] to the picker when they have changed. */
+    fun refresh(
+        targets: List<MemberRecord>,
+        nowNanos: Long,
+    ) {
+        lastUsedNanos = nowNanos
+        val last = known
+        if (last === targets) return
+        synchronized(this) {
+            if (known != targets) picker.update(targets.map(::infoOf), nowNanos)
+            known = targets
+        }
+    }
+
+    private fun infoOf(record: MemberRecord) =
+        TargetInfo(
+            id = record.nodeId,
+            zone = record.zone,
+            address = record.dataAddress,
+            slots = record.slots,
+            cold = record.state == MemberState.COLD,
+        )
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallHeaders.kt
@@ -0,0 +1,57 @@
+package dev.lycheehill.node.http
+
+import io.netty.util.AsciiString
+
+/** Names of the headers that lycheehill reads or sets. */
+object CallHeaders {
+    /** Prefix of all header names that belong to lycheehill. */
+    const val PREFIX = "lycheehill-"
+
+    /** Whether the request may have run. */
+    val VERDICT: AsciiString = AsciiString.cached("lycheehill-verdict")
+
+    /** Configuration version that the call began with. */
+    val VERSION: AsciiString = AsciiString.cached("lycheehill-version")
+
+    /** Reason of a response that was made by a node. */
+    val REASON: AsciiString = AsciiString.cached("lycheehill-reason")
+
+    /** Remaining time of the call in milliseconds. */
+    val DEADLINE_MS: AsciiString = AsciiString.cached("lycheehill-deadline-ms")
+
+    /** Retries that the call and its child calls may still use. */
+    val RETRIES_LEFT: AsciiString = AsciiString.cached("lycheehill-retries-left")
+
+    /** Time after which a refused call may be sent again, in milliseconds. */
+    val RETRY_AFTER_MS: AsciiString = AsciiString.cached("lycheehill-retry-after-ms")
+
+    /** Load of the target, from its node to the caller's node. */
+    val LOAD: AsciiString = AsciiString.cached("lycheehill-load")
+
+    /** Identifies the call on a connection between nodes; the response repeats it. */
+    val CALL_ID: AsciiString = AsciiString.cached("lycheehill-call-id")
+
+    /** Route of the call, from the caller's node to the target's node. */
+    val ROUTE: AsciiString = AsciiString.cached("lycheehill-route")
+
+    /** Service of the call, from the caller's node to the target's node. */
+    val SERVICE: AsciiString = AsciiString.cached("lycheehill-service")
+
+    /** Priority of the call, from the caller's node to the target's node. */
+    val PRIORITY: AsciiString = AsciiString.cached("lycheehill-priority")
+
+    /** Cost class of the call, from the caller's node to the target's node. */
+    val COST: AsciiString = AsciiString.cached("lycheehill-cost")
+
+    /** Name space of the idempotency key, from the caller's node to the target's node. */
+    val KEY_DOMAIN: AsciiString = AsciiString.cached("lycheehill-key-domain")
+
+    /** Longest time without a byte of the response, from the caller's node to the target's node, in milliseconds. */
+    val PROGRESS_MS: AsciiString = AsciiString.cached("lycheehill-progress-ms")
+
+    /** Trace context of W3C. Its trace id also names the call tree. */
+    val TRACEPARENT: AsciiString = AsciiString.cached("traceparent")
+
+    /** Client's key of a request that runs at most once. */
+    val IDEMPOTENCY_KEY: AsciiString = AsciiString.cached("idempotency-key")
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
@@ -0,0 +1,16 @@
+package dev.lycheehill.node.ingress
+
+import dev.lycheehill.calls.admission.AdmissionControl
+import dev.lycheehill.calls.verdict.CallTreeAllowances
+import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.loop.LoopContexts
+import dev.lycheehill.node.target.LocalTarget
+
+/** What all ingress calls of a node share. */
+internal class IngressEnvironment(
+    val settings: DataPathSettings,
+    val target: LocalTarget,
+    val admission: AdmissionControl,
+    val allowances: CallTreeAllowances,
+    val loops: LoopContexts,
+)
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressHandler.kt
@@ -0,0 +1,33 @@
+package dev.lycheehill.node.ingress
+
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.node.http.CallHandler
+import dev.lycheehill.node.http.CallHeaders
+import dev.lycheehill.node.http.InboundCall
+import dev.lycheehill.node.http.NodeResponses
+import io.netty.handler.codec.http.HttpResponseStatus
+
+/** Serves the calls that other nodes send to the backend server beside this node. */
+internal class IngressHandler(
+    private val environment: IngressEnvironment,
+) : CallHandler {
+    override fun handle(call: InboundCall) {
+        val refusal = refusalOf(call)
+        if (refusal != null) {
+            NodeResponses.giveUp(call, HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.NOT_RUN, refusal, retryAfterMs = REFUSED_RETRY_MS)
+            return
+        }
+        IngressCall(environment, environment.loops.of(call.eventLoop), call).start()
+    }
+
+    // The instance at an address can be replaced by one of another service while callers still hold the old record.
+    private fun refusalOf(call: InboundCall): String? {
+        environment.target.refusal()?.let { return it }
+        val service = call.headers.get(CallHeaders.SERVICE)
+        return "wrong-service".takeIf { service != environment.target.registration()?.service }
+    }
+
+    private companion object {
+        const val REFUSED_RETRY_MS = 100L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/loop/LoopContext.kt
@@ -0,0 +1,22 @@
+package dev.lycheehill.node.loop
+
+import dev.lycheehill.node.upstream.Upstreams
+import io.netty.channel.EventLoop
+import java.util.SplittableRandom
+
+/** What belongs to one event loop. Used on that event loop only. */
+internal class LoopContext(
+    val eventLoop: EventLoop,
+    val upstreams: Upstreams,
+    val random: SplittableRandom,
+) {
+    private var calls = 0L
+
+    /** Returns an id that no other call of this event loop has. */
+    fun nextCallId(): String = java.lang.Long.toString(++calls, Character.MAX_RADIX)
+
+    /** Runs [task] on the event loop, at once when this is its thread. */
+    fun onLoop(task: Runnable) {
+        if (eventLoop.inEventLoop()) task.run() else eventLoop.execute(task)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/loop/LoopContexts.kt
@@ -0,0 +1,34 @@
+package dev.lycheehill.node.loop
+
+import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.upstream.Upstreams
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import java.util.IdentityHashMap
+import java.util.SplittableRandom
+import java.util.concurrent.TimeUnit
+
+/** The contexts of all event loops of the data path. The set does not change after construction. */
+internal class LoopContexts(
+    group: EventLoopGroup,
+    transport: Transport,
+    settings: DataPathSettings,
+) {
+    private val byLoop = IdentityHashMap<EventLoop, LoopContext>()
+
+    init {
+        group.forEachIndexed { index, executor ->
+            val loop = executor as EventLoop
+            val upstreams = Upstreams(loop, transport.channelType, settings)
+            byLoop[loop] = LoopContext(loop, upstreams, SplittableRandom(settings.seed + index))
+            loop.scheduleAtFixedRate({ upstreams.maintain(UNUSED_NANOS) }, 1, 1, TimeUnit.SECONDS)
+        }
+    }
+
+    /** Returns the context of [eventLoop]. */
+    fun of(eventLoop: EventLoop): LoopContext = byLoop.getValue(eventLoop)
+
+    private companion object {
+        val UNUSED_NANOS = TimeUnit.MINUTES.toNanos(10)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/loop/Transport.kt
@@ -0,0 +1,42 @@
+package dev.lycheehill.node.loop
+
+import io.netty.channel.Channel
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.IoHandlerFactory
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.ServerChannel
+import io.netty.channel.epoll.Epoll
+import io.netty.channel.epoll.EpollIoHandler
+import io.netty.channel.epoll.EpollServerSocketChannel
+import io.netty.channel.epoll.EpollSocketChannel
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.util.concurrent.DefaultThreadFactory
+
+/** Socket implementation of Netty. */
+enum class Transport(
+    internal val channelType: Class<out Channel>,
+    internal val serverChannelType: Class<out ServerChannel>,
+) {
+    EPOLL(EpollSocketChannel::class.java, EpollServerSocketChannel::class.java),
+    NIO(NioSocketChannel::class.java, NioServerSocketChannel::class.java),
+    ;
+
+    /** Returns a new group of [threads] event loops. */
+    internal fun newGroup(
+        threads: Int,
+        name: String,
+    ): EventLoopGroup = MultiThreadIoEventLoopGroup(threads, DefaultThreadFactory(name, true), ioHandlerFactory())
+
+    private fun ioHandlerFactory(): IoHandlerFactory =
+        when (this) {
+            EPOLL -> EpollIoHandler.newFactory()
+            NIO -> NioIoHandler.newFactory()
+        }
+
+    companion object {
+        /** Returns [EPOLL] when its native library can be loaded, otherwise [NIO]. */
+        fun best(): Transport = if (Epoll.isAvailable()) EPOLL else NIO
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/relay/CollectedResponse.kt
@@ -0,0 +1,12 @@
+package dev.lycheehill.node.relay
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponseStatus
+
+/** A response that was received whole. The receiver takes over [body]. */
+internal class CollectedResponse(
+    val status: HttpResponseStatus,
+    val headers: HttpHeaders,
+    val body: ByteBuf,
+)
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/relay/ResponseCollector.kt
@@ -0,0 +1,113 @@
+package dev.lycheehill.node.relay
+
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.node.http.BodyBuffer
+import dev.lycheehill.node.http.CallHeaders
+import dev.lycheehill.node.http.InboundCall
+import dev.lycheehill.node.upstream.Exchange
+import dev.lycheehill.node.upstream.ExchangeFailure
+import dev.lycheehill.node.upstream.ExchangeListener
+import io.netty.buffer.ByteBufAllocator
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.LastHttpContent
+
+/**
+ * Holds a response until it is whole. A response above [maxBytes] is streamed to the caller instead, and reading from
+ * the peer stops while the caller's connection accepts no more.
+ *
+ * @param expectedCallId value that the response must repeat in `lycheehill-call-id`; null when the peer is no node.
+ */
+internal class ResponseCollector(
+    private val maxBytes: Int,
+    private val expectedCallId: String?,
+    private val listener: CollectorListener,
+) : ExchangeListener {
+    private val body = BodyBuffer(ByteBufAllocator.DEFAULT)
+    private var sink: InboundCall? = null
+    private var done = false
+
+    /** Head of the response; set before any event of the listener but a failure. */
+    lateinit var head: HttpResponse
+        private set
+
+    lateinit var exchange: Exchange
+
+    override fun onResponse(response: HttpResponse) {
+        head = response
+        if (expectedCallId != null && response.headers().get(CallHeaders.CALL_ID) != expectedCallId) {
+            exchange.cancel()
+            onFailure(ExchangeFailure(Verdict.MAY_HAVE_RUN, ExchangeFailure.Kind.BAD_RESPONSE))
+        }
+    }
+
+    override fun onContent(content: HttpContent) {
+        if (done) {
+            content.release()
+            return
+        }
+        val caller = sink
+        if (caller == null) collect(content) else forward(caller, content)
+    }
+
+    override fun onFailure(failure: ExchangeFailure) {
+        if (done) return
+        done = true
+        body.release()
+        listener.onFailure(failure)
+    }
+
+    /** Starts to send the response to [call], beginning with what has been collected. */
+    fun streamTo(
+        call: InboundCall,
+        headers: HttpHeaders,
+    ) {
+        sink = call
+        call.startStream(head.status(), headers)
+        call.write(DefaultHttpContent(body.take()))
+        pauseIfFull(call)
+    }
+
+    /** Continues to read after the caller's connection was full. */
+    fun resume() {
+        if (!done) exchange.setReading(true)
+    }
+
+    /** Gives up the attempt. No event follows. */
+    fun cancel() {
+        if (done) return
+        done = true
+        body.release()
+        exchange.cancel()
+    }
+
+    private fun collect(content: HttpContent) {
+        body.add(content.content())
+        if (content is LastHttpContent) {
+            done = true
+            listener.onWhole(CollectedResponse(head.status(), head.headers(), body.take()))
+        } else if (body.sizeBytes > maxBytes) {
+            listener.onTooLong(this)
+        }
+    }
+
+    private fun forward(
+        caller: InboundCall,
+        content: HttpContent,
+    ) {
+        if (content is LastHttpContent) {
+            done = true
+            caller.end(content)
+            listener.onStreamed()
+            return
+        }
+        caller.write(content)
+        pauseIfFull(caller)
+    }
+
+    private fun pauseIfFull(caller: InboundCall) {
+        if (!caller.isWritable) exchange.setReading(false)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/routing/RouteDecision.kt
@@ -0,0 +1,20 @@
+package dev.lycheehill.node.routing
+
+import dev.lycheehill.config.model.Route
+import dev.lycheehill.config.model.Service
+
+/** Where a call goes, by the configuration version that it began with. */
+internal class RouteDecision(
+    val version: Long,
+    val route: Route,
+    val service: Service,
+) {
+    val timeoutMs: Int get() = route.timeoutMs ?: service.timeoutMs
+
+    /** Whether a call with [method] may run more than once. */
+    fun isIdempotent(method: String): Boolean = route.idempotent ?: (method in IDEMPOTENT_METHODS)
+
+    private companion object {
+        val IDEMPOTENT_METHODS = setOf("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/ExchangeFailure.kt
@@ -0,0 +1,21 @@
+package dev.lycheehill.node.upstream
+
+import dev.lycheehill.core.Verdict
+
+/** End of an exchange without a whole response. */
+internal data class ExchangeFailure(
+    val verdict: Verdict,
+    val kind: Kind,
+) {
+    /** Cause of the failure. [reason] is the value of the reason header. */
+    enum class Kind(
+        val reason: String,
+    ) {
+        CONNECT("connect-failed"),
+        TOO_MANY_CONNECTIONS("connection-limit"),
+        CLOSED("connection-closed"),
+        TRUNCATED("truncated-response"),
+        BAD_RESPONSE("bad-response"),
+        SILENT("silent-connection"),
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/Upstreams.kt
@@ -0,0 +1,52 @@
+package dev.lycheehill.node.upstream
+
+import dev.lycheehill.node.DataPathSettings
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpClientCodec
+import java.net.InetSocketAddress
+
+/** Connection pools of one event loop by address of the peer. Used on that event loop only. */
+internal class Upstreams(
+    private val eventLoop: EventLoop,
+    channelType: Class<out Channel>,
+    private val settings: DataPathSettings,
+) {
+    private val pools = HashMap<String, ConnectionPool>()
+
+    private val bootstrap: Bootstrap =
+        Bootstrap()
+            .group(eventLoop)
+            .channel(channelType)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMs)
+            .handler(Initializer)
+
+    /** Returns the pool for [address], written as `ip:port`. */
+    fun pool(address: String): ConnectionPool = pools.getOrPut(address) { newPool(address) }
+
+    /** Closes expired connections and forgets the pools of peers that have not been called for [unusedNanos]. */
+    fun maintain(unusedNanos: Long) {
+        val now = System.nanoTime()
+        pools.values.forEach { it.closeExpired() }
+        pools.values.removeIf { now - it.lastUsedNanos > unusedNanos }
+    }
+
+    private fun newPool(address: String) =
+        ConnectionPool(
+            eventLoop = eventLoop,
+            address = InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt()),
+            bootstrap = bootstrap,
+            idleReuseNanos = settings.idleReuseMs * 1_000_000,
+            maxConnections = settings.maxConnectionsPerPeer,
+        )
+
+    private object Initializer : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            channel.pipeline().addLast(HttpClientCodec())
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/kotlin/dev/lycheehill/node/TestMesh.kt
@@ -0,0 +1,72 @@
+package dev.lycheehill.node
+
+import dev.lycheehill.config.model.ConfigContent
+import dev.lycheehill.config.model.Route
+import dev.lycheehill.config.model.Service
+import dev.lycheehill.core.time.SystemTimerService
+import dev.lycheehill.fleet.membership.MemberRecord
+import dev.lycheehill.fleet.membership.MemberState
+import dev.lycheehill.node.policy.BaselinePolicies
+import dev.lycheehill.node.policy.CallPolicies
+import dev.lycheehill.node.target.TargetRegistration
+import dev.lycheehill.node.view.InMemoryFleetView
+import dev.lycheehill.node.view.SharedFleet
+import dev.lycheehill.standins.backend.BackendSettings
+import dev.lycheehill.standins.backend.BackendStandIn
+import dev.lycheehill.standins.backend.RunLog
+
+/** Nodes of the service `orders` with their backend servers and one node without a target, on loopback sockets. */
+class TestMesh(
+    targets: Int,
+    private val settings: DataPathSettings = DataPathSettings(eventLoops = 1),
+    private val policies: CallPolicies = BaselinePolicies,
+    private val backendSettings: BackendSettings = BackendSettings(),
+    content: ConfigContent = CONTENT,
+) : AutoCloseable {
+    val runs = RunLog()
+    val fleet = SharedFleet(content)
+    private val timers = SystemTimerService()
+    val backends = List(targets) { BackendStandIn(backendSettings.copy(seed = SEED + it), runs).start() }
+    val targetNodes = List(targets) { startNode("target-$it") }
+    val callerNode = startNode("caller")
+
+    init {
+        targetNodes.forEachIndexed { index, _ -> announce(index) }
+    }
+
+    fun caller(): RawClient = RawClient(callerNode.egressAddress)
+
+    fun announce(
+        index: Int,
+        leaseMs: Long = 60_000,
+        state: MemberState = MemberState.READY,
+    ) = targetNodes[index].target.announce(
+        TargetRegistration("orders", backends[index].address, state, backendSettings.slots, leaseMs),
+    )
+
+    override fun close() {
+        (targetNodes + callerNode).forEach { it.kill() }
+        backends.forEach { it.close() }
+        timers.close()
+    }
+
+    private fun startNode(nodeId: String): LycheehillNode {
+        val record =
+            MemberRecord(nodeId, 1, MemberState.COLD, "lakes-a", "great-lakes", controlAddress = "127.0.0.1:1", dataAddress = "127.0.0.1:1")
+        fleet.put(record)
+        val node = LycheehillNode(settings, InMemoryFleetView(fleet, nodeId), timers, policies)
+        node.start()
+        fleet.update(nodeId) { it.copy(dataAddress = "127.0.0.1:${node.ingressAddress.port}") }
+        return node
+    }
+
+    companion object {
+        const val SEED = 20261204L
+
+        val CONTENT =
+            ConfigContent(
+                services = mapOf("orders" to Service("orders", timeoutMs = 5_000)),
+                routes = mapOf("orders" to Route("orders", pathPrefix = "/orders", weights = mapOf("orders" to 100))),
+            )
+    }
+}
