--- /dev/null
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/verdict/RetryPolicyTest.kt
@@ -0,0 +1,92 @@
+package dev.lycheehill.calls.verdict
+
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.core.time.NANOS_PER_MILLI
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThanOrEqualTo
+
+class RetryPolicyTest {
+    /** Guards against a second run of a non-idempotent request and against retries beyond a limit. */
+    @ParameterizedTest
+    @CsvSource(
+        "NOT_RUN, false, 1, 100, 3, true, ,",
+        "NOT_RUN, true, 1, 100, 3, true, ,",
+        "MAY_HAVE_RUN, true, 1, 100, 3, true, ,",
+        "MAY_HAVE_RUN, false, 1, 100, 3, true, MAY_HAVE_RUN,",
+        "RAN, true, 1, 100, 3, true, ANSWERED,",
+        "NOT_RUN, false, 3, 100, 3, true, ATTEMPTS, 1000",
+        "NOT_RUN, false, 1, 0, 3, true, DEADLINE, 1000",
+        "MAY_HAVE_RUN, true, 1, 0, 3, true, DEADLINE, 1000",
+        "NOT_RUN, false, 1, 100, 0, true, ALLOWANCE, 1000",
+        "NOT_RUN, true, 1, 100, 3, false, REFUSED,",
+    )
+    fun `an attempt is repeated only where it is safe and allowed`(
+        verdict: Verdict,
+        idempotent: Boolean,
+        number: Int,
+        timeoutMs: Long,
+        allowance: Int,
+        repeatable: Boolean,
+        expected: GiveUpReason?,
+        retryAfterMs: Long?,
+    ) {
+        val attempt = FailedAttempt(verdict, idempotent, number, 3, Deadline.after(timeoutMs, 0), RetryAllowance(allowance), repeatable)
+        val decision = BudgetedRetryPolicy().decide(attempt, 0)
+        if (expected == null) {
+            expectThat(decision).isA<RetryDecision.Elsewhere>()
+        } else {
+            expectThat(decision).isEqualTo(RetryDecision.Final(verdict, expected, retryAfterMs))
+        }
+    }
+
+    /** Guards against a retry storm: with all calls failing, retries stay within a tenth of the calls of 10 s. */
+    @Test
+    fun `the budget bounds the retries in each window`() {
+        val budget = RetryBudget()
+        val retriesByMs = IntArray(30_000)
+        for (ms in retriesByMs.indices) {
+            budget.onCall(ms * NANOS_PER_MILLI)
+            if (budget.tryRetry(ms * NANOS_PER_MILLI)) retriesByMs[ms]++
+        }
+        val sums = retriesByMs.runningFold(0, Int::plus)
+        val worst = (10_000 until sums.size).maxOf { sums[it] - sums[it - 10_000] }
+        expectThat(worst).isLessThanOrEqualTo(1_000)
+        expectThat(budget.tryRetry(3_600_000 * NANOS_PER_MILLI)).isEqualTo(true)
+    }
+
+    /** Guards against retries that multiply with depth and width of a call tree. */
+    @Test
+    fun `a tree of failing calls uses no more retries than its root allows`() {
+        val retries = failingCall(RetryAllowance(), depth = 8)
+        expectThat(retries).isLessThanOrEqualTo(RetryAllowance.DEFAULT)
+    }
+
+    /** Guards against a child call that gets a fresh allowance because the table of trees is full. */
+    @Test
+    fun `child calls of one call share an allowance`() {
+        val trees = CallTreeAllowances(capacity = 1)
+        trees.start("tree", RetryAllowance(1))
+        trees.start("other", RetryAllowance(2))
+        expectThat(trees.forChild("tree", "3").takeOne()).isEqualTo(true)
+        expectThat(trees.forChild("tree", "3").takeOne()).isFalse()
+        expectThat(trees.forChild("other", "2").left).isEqualTo(0)
+        expectThat(trees.finish("tree")).isEqualTo(0)
+    }
+
+    private fun failingCall(
+        allowance: RetryAllowance,
+        depth: Int,
+    ): Int {
+        if (depth == 0) return 0
+        val below = RetryAllowance(allowance.lend())
+        var retries = (1..3).sumOf { failingCall(below, depth - 1) }
+        while (allowance.takeOne()) retries += 1 + failingCall(RetryAllowance(allowance.lend()), depth - 1)
+        return retries
+    }
+}
