Add the configuration fold, the records and the patch parser

Cause: every node needs one pure function from log records to configuration versions, and an outcome for each patch. Change: canonical content hash, CBOR records, PatchId, ChainHash, ConfigFold, outcomeOf, TOML patch parser with line and nearest key. FoldState has a new field malformedRecords. A refusal is recorded only for the current base: a copy with a future base may still be accepted later, so "refused" would be a false answer.

--- a/config/src/main/kotlin/dev/lycheehill/config/fold/FoldState.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/fold/FoldState.kt
@@ -1,6 +1,8 @@
 package dev.lycheehill.config.fold
 
+import dev.lycheehill.config.log.ChainHash
 import dev.lycheehill.config.model.ConfigContent
+import dev.lycheehill.config.model.ContentHash
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
@@ -15,6 +17,7 @@
  * @property history patch id by version for the most recent versions; the empty string for a version without a patch.
  * @property refusals reason by patch id, for recently refused patches.
  * @property fences patch ids that are refused while the version stays the same.
+ * @property malformedRecords number of folded records that were no valid record.
  * @property stoppedReason reason why the fold follows the log no further, or null.
  */
 data class FoldState(
@@ -26,5 +29,11 @@
     val history: PersistentMap<Long, String> = persistentMapOf(),
     val refusals: PersistentMap<String, String> = persistentMapOf(),
     val fences: PersistentSet<String> = persistentSetOf(),
+    val malformedRecords: Long = 0,
     val stoppedReason: String? = null,
-)
+) {
+    companion object {
+        /** State before the first record of the log. */
+        fun initial(): FoldState = FoldState(contentHash = ContentHash.of(ConfigContent()), chainHash = ChainHash.EMPTY)
+    }
+}
--- /dev/null
+++ b/config/src/main/kotlin/dev/lycheehill/config/patch/PatchParser.kt
@@ -0,0 +1,91 @@
+package dev.lycheehill.config.patch
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import dev.lycheehill.config.toml.TomlDocument
+import dev.lycheehill.config.toml.TomlError
+import dev.lycheehill.config.toml.TomlTable
+
+/** Reads patches in TOML. A faulty patch is refused as a whole, with each fault. */
+object PatchParser {
+    private const val SERVICES = "services"
+    private const val ROUTES = "routes"
+
+    /** Parses [text]; [file] names its source in errors. The error list is never empty. */
+    fun parse(
+        text: String,
+        file: String = "patch",
+    ): Either<List<TomlError>, Patch> {
+        val sizeBytes = text.encodeToByteArray().size
+        if (sizeBytes > PatchLimits.TEXT_BYTES) {
+            return whole(file, "the patch has $sizeBytes bytes; at most ${PatchLimits.TEXT_BYTES} are permitted").left()
+        }
+        return TomlDocument.parse(text, file).mapLeft { listOf(it) }.flatMap(::read)
+    }
+
+    private fun read(document: TomlDocument): Either<List<TomlError>, Patch> {
+        val root = document.root
+        val services = entries(root, SERVICES, ServiceReader::read)
+        val routes = entries(root, ROUTES, RouteReader::read)
+        val remove = root.table("remove")
+        val patch =
+            Patch(
+                services = services,
+                routes = routes,
+                removedServices = remove?.names(SERVICES).orEmpty(),
+                removedRoutes = remove?.names(ROUTES).orEmpty(),
+                file = document.file,
+                lines = document.lines,
+            )
+        remove?.refuseUnknown()
+        remove?.refuseSetAndRemoved(SERVICES, patch.removedServices.intersect(services.keys))
+        remove?.refuseSetAndRemoved(ROUTES, patch.removedRoutes.intersect(routes.keys))
+        root.refuseUnknown()
+        val faults = document.faults()
+        return when {
+            faults.isNotEmpty() -> faults.left()
+            patch.isEmpty() -> whole(document.file, "the patch is empty").left()
+            else -> patch.right()
+        }
+    }
+
+    private fun <T : Any> entries(
+        root: TomlTable,
+        key: String,
+        read: (String, TomlTable) -> T?,
+    ): Map<String, T> {
+        val section = root.table(key) ?: return emptyMap()
+        return section
+            .keys()
+            .mapNotNull { name -> entry(section, name, read)?.let { name to it } }
+            .toMap()
+    }
+
+    private fun <T : Any> entry(
+        section: TomlTable,
+        name: String,
+        read: (String, TomlTable) -> T?,
+    ): T? {
+        if (!PatchLimits.isName(name)) {
+            section.fault(name, "a name has ${PatchLimits.NAME_RULE}")
+            return null
+        }
+        return section.table(name)?.let { table -> read(name, table).also { table.refuseUnknown() } }
+    }
+
+    private fun TomlTable.names(key: String): Set<String> = strings(key, "a list of names") { true }.orEmpty().toSet()
+
+    private fun TomlTable.refuseSetAndRemoved(
+        key: String,
+        names: Set<String>,
+    ) = names.forEach { fault(key, "\"$it\" is both set and removed") }
+
+    private fun Patch.isEmpty(): Boolean = services.isEmpty() && routes.isEmpty() && removedServices.isEmpty() && removedRoutes.isEmpty()
+
+    private fun whole(
+        file: String,
+        message: String,
+    ) = listOf(TomlError(file, line = 0, key = "", message = message))
+}
--- /dev/null
+++ b/config/src/main/kotlin/dev/lycheehill/config/toml/TomlError.kt
@@ -0,0 +1,22 @@
+package dev.lycheehill.config.toml
+
+/**
+ * One fault of a TOML text.
+ *
+ * @property file name of the file, or of the source of the text.
+ * @property line line of the key, from 1; 0 when the fault concerns the whole text.
+ * @property key dotted path of the key; empty when the fault concerns the whole text.
+ */
+data class TomlError(
+    val file: String,
+    val line: Int,
+    val key: String,
+    val message: String,
+) {
+    override fun toString(): String =
+        listOfNotNull(
+            if (line > 0) "$file:$line" else file,
+            key.ifEmpty { null },
+            message,
+        ).joinToString(": ")
+}
--- /dev/null
+++ b/config/src/test/kotlin/dev/lycheehill/config/fold/ConfigFoldTest.kt
@@ -0,0 +1,245 @@
+package dev.lycheehill.config.fold
+
+import dev.lycheehill.config.log.LogEntry
+import dev.lycheehill.config.log.PatchId
+import dev.lycheehill.config.log.PatchRecord
+import dev.lycheehill.config.log.RecordCodec
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isSameInstanceAs
+import strikt.assertions.startsWith
+import kotlin.random.Random
+
+class ConfigFoldTest {
+    /** Guards against a refused record that changes the version, or one whose outcome is answered wrongly. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("refused")
+    fun `a refused patch changes nothing and is answered as refused`(case: RefusedCase) {
+        val log = LogBuilder().append(LogBuilder().patch(service("a")))
+        val record = case.prepare(log)
+        val before = log.state
+        log.append(record)
+        expectThat(log.state) {
+            get { version }.isEqualTo(before.version)
+            get { content }.isEqualTo(before.content)
+            get { nextOffset }.isEqualTo(before.nextOffset + 1)
+            get { outcomeOf(PatchId.parse(record.patchId)!!) }
+                .isA<PatchOutcome.Refused>()
+                .get { reason }
+                .startsWith(case.reason)
+        }
+    }
+
+    @Test
+    fun `of two patches against one version the first in the log wins`() {
+        val log = LogBuilder()
+        val first = log.patch(service("a"))
+        val second = log.patch(service("b"))
+        log.append(first).append(second)
+        expectThat(log.state) {
+            get { version }.isEqualTo(1)
+            get { content.services.keys }.containsExactly("a")
+            get { outcomeOf(PatchId.parse(first.patchId)!!) }.isEqualTo(PatchOutcome.Accepted(1))
+        }
+    }
+
+    @Test
+    fun `a second copy of an accepted patch makes no second version`() {
+        val log = LogBuilder()
+        val record = log.patch(service("a"))
+        log
+            .append(record)
+            .append(record)
+            .append(log.patch(service("b")))
+            .append(record)
+        expectThat(log.state.version).isEqualTo(2)
+        expectThat(log.state.outcomeOf(PatchId.parse(record.patchId)!!)).isEqualTo(PatchOutcome.Accepted(1))
+    }
+
+    /** A copy against a future base must not be answered as refused: the same patch may be accepted at its base. */
+    @Test
+    fun `a patch against a future base is not known yet and may still be accepted`() {
+        val log = LogBuilder()
+        val reached = LogBuilder().append(log.patch(service("a")))
+        val early = reached.patch(service("b"))
+        log.append(early)
+        expectThat(log.state.outcomeOf(PatchId.parse(early.patchId)!!)).isEqualTo(PatchOutcome.NotKnownYet)
+        log.append(log.patch(service("a")))
+        expectThat(log.state.outcomeOf(PatchId.parse(early.patchId)!!)).isEqualTo(PatchOutcome.NotKnownYet)
+        log.append(early)
+        expectThat(log.state.outcomeOf(PatchId.parse(early.patchId)!!)).isEqualTo(PatchOutcome.Accepted(2))
+    }
+
+    @Test
+    fun `a fence after the patch does not undo it`() {
+        val log = LogBuilder()
+        val record = log.patch(service("a"))
+        log.append(record).fence(record.patchId)
+        expectThat(log.state.outcomeOf(PatchId.parse(record.patchId)!!)).isEqualTo(PatchOutcome.Accepted(1))
+        expectThat(log.state.fences).isEmpty()
+    }
+
+    @Test
+    fun `too many fences make a version with the same content, and a fenced patch stays refused`() {
+        val log = LogBuilder()
+        val record = log.patch(service("a"))
+        log.fence(record.patchId)
+        repeat(FoldLimits.FENCES - 1) { log.fence(log.patch(service("b", it + 1)).patchId) }
+        expectThat(log.state.version).isEqualTo(0)
+        log.fence(log.patch(service("c")).patchId).append(record)
+        expectThat(log.state) {
+            get { version }.isEqualTo(1)
+            get { fences }.isEmpty()
+            get { outcomeOf(PatchId.parse(record.patchId)!!) }.isA<PatchOutcome.Refused>()
+        }
+    }
+
+    @Test
+    fun `an outcome older than the history is too old to tell`() {
+        val log = LogBuilder()
+        val first = log.patch(service("a"))
+        log.append(first)
+        repeat(FoldLimits.HISTORY_VERSIONS) { log.append(log.patch(service("a", it % 100 + 1))) }
+        expectThat(log.state.history).hasSize(FoldLimits.HISTORY_VERSIONS)
+        expectThat(log.state.outcomeOf(PatchId.parse(first.patchId)!!)).isEqualTo(PatchOutcome.TooOldToTell)
+        expectThat(log.state.outcomeOf(PatchId.parse(log.state.history[2]!!)!!)).isEqualTo(PatchOutcome.Accepted(2))
+    }
+
+    @Test
+    fun `an evicted refusal is not known, never accepted`() {
+        val log = LogBuilder()
+        val invalid = log.patch("nonsense = 1")
+        log.append(invalid)
+        repeat(FoldLimits.REFUSALS) { log.append(log.patch("nonsense = ${it + 2}")) }
+        expectThat(log.state.refusals).hasSize(FoldLimits.REFUSALS)
+        expectThat(log.state.outcomeOf(PatchId.parse(invalid.patchId)!!)).isEqualTo(PatchOutcome.NotKnownYet)
+    }
+
+    @Test
+    fun `an unknown format stops the fold and keeps the version`() {
+        val log = LogBuilder().append(LogBuilder().patch(service("a")))
+        val offset = log.state.nextOffset
+        // CBOR of {"format": 2, "x": true}
+        log.append(byteArrayOf(0xa2.toByte(), 0x66) + "format".toByteArray() + byteArrayOf(2, 0x61, 'x'.code.toByte(), 0xf5.toByte()))
+        log.append(log.patch(service("b")))
+        expectThat(log.state) {
+            get { version }.isEqualTo(1)
+            get { nextOffset }.isEqualTo(offset)
+            get { stoppedReason }.isNotNull().startsWith("record at offset 1 has format 2")
+        }
+    }
+
+    @Test
+    fun `an entry that is not the next one leaves the state unchanged`() {
+        val log = LogBuilder().append(LogBuilder().patch(service("a")))
+        listOf(0L, 5L).forEach { offset ->
+            expectThat(ConfigFold.apply(log.state, LogEntry(offset, byteArrayOf(1)))).isSameInstanceAs(log.state)
+        }
+    }
+
+    /** Guards against a record that makes the fold throw, which would stop every node. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    fun `random and damaged bytes are counted and never throw`(seed: Int) {
+        println("seed $seed")
+        val random = Random(seed)
+        val log = LogBuilder()
+        val valid =
+            dev.lycheehill.config.log.RecordCodec
+                .encode(log.patch(service("a")))
+        repeat(2_000) {
+            val bytes = if (it % 2 == 0) random.nextBytes(random.nextInt(200)) else damaged(valid, random)
+            log.state = log.state.copy(stoppedReason = null)
+            log.append(bytes)
+        }
+        expectThat(log.state.content.services.keys - "a").isEmpty()
+        expectThat(log.state.malformedRecords).isGreaterThan(1_000)
+    }
+
+    /** Guards against a stack overflow or a long stall in the TOML reader, which would differ between nodes. */
+    @ParameterizedTest
+    @MethodSource("hostileTexts")
+    fun `a hostile text is refused`(text: String) {
+        val log = LogBuilder()
+        val record = log.patch(text)
+        log.append(record)
+        expectThat(log.state.outcomeOf(PatchId.parse(record.patchId)!!)).isA<PatchOutcome.Refused>()
+    }
+
+    private fun damaged(
+        valid: ByteArray,
+        random: Random,
+    ) = valid.copyOf(random.nextInt(valid.size) + 1).also { bytes ->
+        repeat(random.nextInt(4)) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() }
+    }
+
+    companion object {
+        @JvmStatic
+        fun seeds() = listOf(1, 2, 3)
+
+        @JvmStatic
+        fun hostileTexts() =
+            listOf(
+                "a = " + "[".repeat(65_000),
+                "a = " + "[".repeat(32_000) + "]".repeat(32_000),
+                "a = " + "{a=".repeat(21_000),
+                "a = " + "{a=".repeat(15_000) + "1" + "}".repeat(15_000),
+                "[" + "a.".repeat(30_000) + "a]",
+                "a.".repeat(30_000) + "a = 1",
+                "a = " + "9".repeat(65_000),
+                "a = 1e" + "9".repeat(60_000),
+                "\"".repeat(65_001),
+                "[services]\n" + "x.y = 1\n".repeat(8_000),
+                (0..3_000).joinToString("\n") { "[routes.r$it]" },
+            )
+
+        @JvmStatic
+        fun refused() =
+            listOf(
+                row("stale base", "version 2 was made by patch 1-") { log ->
+                    log.patch(service("b")).also { log.append(log.patch(service("c"))) }
+                },
+                row("hash of another base", "base hash is not that of version 1") { log ->
+                    PatchRecord.of(log.state.version, FoldState.initial().contentHash, service("b"))
+                },
+                row("late append after its fence", "fenced before") { log ->
+                    log.patch(service("b")).also { log.fence(it.patchId) }
+                },
+                row("late append after its fence and another version", "version 2 was made by patch 1-") { log ->
+                    log.patch(service("b")).also { log.fence(it.patchId).append(log.patch(service("c"))) }
+                },
+                row("invalid patch", "patch:2: services.b.timeout_ms: must be") { log -> log.patch(service("b", 0)) },
+                row("unknown key", "patch:1: service: unknown key") { log -> log.patch("service = 1") },
+                row("over-size patch", "patch: the patch has 65537 bytes") { log ->
+                    log.patch(service("b").let { it + "#".repeat(65_537 - it.length) })
+                },
+                row("empty patch", "patch: the patch is empty") { log -> log.patch("# nothing") },
+                row("route to a missing service", "patch:2: routes.r.weights.zz: the resulting version has no service") { log ->
+                    log.patch("[routes.r]\nweights = { zz = 1 }")
+                },
+            )
+
+        private fun row(
+            name: String,
+            reason: String,
+            prepare: (LogBuilder) -> PatchRecord,
+        ) = RefusedCase(name, reason, prepare)
+    }
+
+    class RefusedCase(
+        private val name: String,
+        val reason: String,
+        val prepare: (LogBuilder) -> PatchRecord,
+    ) {
+        override fun toString(): String = name
+    }
+}
