Add the settings of a node

Cause: programs need typed settings before they can be wired together. Change: settings are read from TOML into immutable data. Every key is checked for type, unit and range; all faults of a file are reported at once with file, line and key; an unknown key names the nearest known key.

--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/settings/SettingsError.kt
@@ -0,0 +1,8 @@
+package dev.lycheehill.node.settings
+
+/** All faults found in one settings file. */
+data class SettingsError(
+    val faults: List<SettingsFault>,
+) {
+    override fun toString(): String = faults.joinToString("\n")
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/settings/SettingsReader.kt
@@ -0,0 +1,148 @@
+package dev.lycheehill.node.settings
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.dataformat.toml.TomlMapper
+
+/**
+ * Reads typed values from one TOML text and collects every fault.
+ *
+ * A schema asks for each key that it knows. Keys that it did not ask for are faults. After a fault a reading function
+ * returns its default or a placeholder, so that the schema goes on and finds further faults.
+ */
+class SettingsReader private constructor(
+    private val file: String,
+    private val values: Map<String, JsonNode>,
+    private val lines: Map<String, Int>,
+) {
+    private val faults = mutableListOf<SettingsFault>()
+    private val effective = mutableListOf<EffectiveSetting>()
+
+    /** Tells whether the file has [table], even without keys. */
+    fun hasTable(table: String): Boolean = values.keys.any { it == table || it.startsWith("$table.") }
+
+    /** Reads a string that matches [form] as a whole. A null [default] makes the key required. */
+    fun string(
+        key: String,
+        default: String? = null,
+        form: Regex = Regex(".+"),
+        expected: String = "a string that is not empty",
+    ): String = optionalString(key, default, form, expected) ?: missing(key, "")
+
+    /** Reads a string that may be absent. */
+    fun optionalString(
+        key: String,
+        default: String? = null,
+        form: Regex = Regex(".+"),
+        expected: String = "a string that is not empty",
+    ): String? = value(key, default, expected) { node -> node.textValue()?.takeIf { form.matches(it) } }
+
+    /** Reads a text that is masked wherever it is printed. */
+    fun optionalSecret(key: String): Secret? =
+        value(key, null, "a string that is not empty") { node -> node.textValue()?.takeIf { it.isNotEmpty() }?.let(::Secret) }
+
+    /** Reads an integer within [range]; [unit] appears in messages. */
+    fun int(
+        key: String,
+        default: Int,
+        range: IntRange,
+        unit: String,
+    ): Int =
+        value(key, default, "a whole number of $unit from ${range.first} to ${range.last}") { node ->
+            node.takeIf { it.isIntegralNumber && it.canConvertToInt() }?.intValue()?.takeIf { it in range }
+        } ?: default
+
+    /** Reads an address in the form `ip:port`. A null [default] makes the key required. */
+    fun address(
+        key: String,
+        default: HostPort? = null,
+    ): HostPort = value(key, default, ADDRESS_FORM) { addressOf(it) } ?: missing(key, HostPort.ANY_LOOPBACK)
+
+    /** Reads a list of addresses; an absent key is an empty list. */
+    fun addresses(key: String): List<HostPort> =
+        value(key, emptyList(), "a list of strings, each an address such as \"127.0.0.1:7000\"") { node ->
+            node
+                .takeIf { it.isArray }
+                ?.map { addressOf(it) }
+                ?.takeIf { null !in it }
+                ?.filterNotNull()
+        } ?: emptyList()
+
+    /** Reports a fault that concerns [key] after its value was read. */
+    fun fault(
+        key: String,
+        message: String,
+    ) {
+        faults += SettingsFault(file, lines[key], key, message)
+    }
+
+    private fun <T : Any> value(
+        key: String,
+        default: T?,
+        expected: String,
+        parse: (JsonNode) -> T?,
+    ): T? {
+        val node = values[key]
+        val parsed = node?.let(parse)
+        if (node != null && parsed == null) fault(key, "expected $expected, found ${describe(node)}")
+        val result = parsed ?: default
+        effective += EffectiveSetting(key, result, fromFile = node != null)
+        return result
+    }
+
+    private fun <T> missing(
+        key: String,
+        placeholder: T,
+    ): T {
+        if (key !in values) fault(key, "required key is missing")
+        return placeholder
+    }
+
+    private fun addressOf(node: JsonNode): HostPort? = node.textValue()?.let(HostPort::parseOrNull)
+
+    private fun describe(node: JsonNode): String = if (node.isObject) "a table" else node.toString()
+
+    private fun reportUnknownKeys() {
+        val known = effective.map { it.key }
+        val tables = effective.map { it.table }.toSet()
+        for (key in values.keys - known.toSet() - values.filter { it.value.isObject }.keys.intersect(tables)) {
+            fault(key, "unknown key; the nearest known key is ${NearestName.of(key, known)}")
+        }
+    }
+
+    private fun <T> finish(settings: T): Either<SettingsError, LoadedSettings<T>> {
+        reportUnknownKeys()
+        if (faults.isEmpty()) return LoadedSettings(settings, effective.toList()).right()
+        return SettingsError(faults.sortedBy { it.line ?: Int.MAX_VALUE }).left()
+    }
+
+    companion object {
+        private const val ADDRESS_FORM = "an address such as \"127.0.0.1:7000\""
+        private val MAPPER = TomlMapper()
+
+        /** Reads [text] with [schema]. [file] names the source in messages. */
+        fun <T> read(
+            file: String,
+            text: String,
+            schema: (SettingsReader) -> T,
+        ): Either<SettingsError, LoadedSettings<T>> =
+            try {
+                val reader = SettingsReader(file, flatten(MAPPER.readTree(text)), TomlLines.index(text))
+                reader.finish(schema(reader))
+            } catch (e: JsonProcessingException) {
+                SettingsError(listOf(SettingsFault(file, e.location?.lineNr, null, "not TOML: ${e.originalMessage}"))).left()
+            }
+
+        private fun flatten(
+            node: JsonNode,
+            prefix: String = "",
+        ): Map<String, JsonNode> =
+            node.properties().fold(emptyMap()) { all, (name, child) ->
+                val key = prefix + name
+                all + if (child.isObject && !child.isEmpty) flatten(child, "$key.") else mapOf(key to child)
+            }
+    }
+}
