--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/metrics/PatchResult.kt
@@ -0,0 +1,4 @@
+package dev.lycheehill.node.metrics
+
+/** Outcome of one folded patch. */
+enum class PatchResult { ACCEPTED, REFUSED }
--- /dev/null
+++ b/node/src/test/kotlin/dev/lycheehill/node/metrics/NodeMetricsTest.kt
@@ -0,0 +1,78 @@
+package dev.lycheehill.node.metrics
+
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.fleet.membership.MemberState
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Guards against a page of metrics that lists other names than the registry, and against meters that leak. */
+class NodeMetricsTest {
+    private val metrics = NodeMetrics()
+
+    @Test
+    fun `the page lists every meter with its unit, labels and meaning`() {
+        val rows = Files.readAllLines(Path.of("../docs/metrics.md")).filter { it.startsWith("| `lycheehill_") }
+
+        expectThat(rows).isEqualTo(
+            NodeMeter.entries.map { meter ->
+                val labels = meter.labels.joinToString(", ").ifEmpty { "-" }
+                "| `${meter.prometheusName}` | ${meter.kind.name.lowercase()} | ${meter.unit} | $labels | ${meter.meaning} |"
+            },
+        )
+    }
+
+    @Test
+    fun `the registry shows every meter under the name on the page`() {
+        metrics.route("orders").callFinished(Verdict.RAN, durationNanos = 1_000_000)
+        metrics.ejected("orders")
+        metrics.invalidRequest(status = 431)
+
+        val families =
+            metrics
+                .scrape()
+                .lines()
+                .filter { it.startsWith("# TYPE ") }
+                .map { it.split(' ')[2] }
+
+        // Micrometer adds a maximum to each timer.
+        expectThat(families.filterNot { it.endsWith("_max") }.toSortedSet())
+            .isEqualTo(NodeMeter.entries.map { it.prometheusName }.toSortedSet())
+    }
+
+    @Test
+    fun `a call is counted by route and verdict`() {
+        metrics.route("orders").callFinished(Verdict.NOT_RUN, durationNanos = 2_000_000)
+
+        expectThat(metrics.scrape()).contains("lycheehill_calls_seconds_count{route=\"orders\",verdict=\"not-run\"} 1\n")
+    }
+
+    @Test
+    fun `meters of removed routes are removed`() {
+        metrics.route("old")
+        metrics.route("orders")
+
+        metrics.retainRoutes(setOf("orders"))
+
+        expectThat(metrics.scrape()) {
+            contains("route=\"orders\"")
+            not().contains("route=\"old\"")
+        }
+    }
+
+    @Test
+    fun `a gauge reads its source at each scrape`() {
+        var version = 1L
+        metrics.bindGauge(NodeMeter.CONFIG_VERSION) { version }
+        metrics.bindMembers(MemberState.READY) { 13 }
+        version = 7
+
+        expectThat(metrics.scrape()) {
+            contains("lycheehill_config_version 7.0\n")
+            contains("lycheehill_members{state=\"ready\"} 13.0\n")
+        }
+    }
+}
