--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/LocalTarget.kt
@@ -0,0 +1,113 @@
+package dev.lycheehill.node.target
+
+import dev.lycheehill.core.time.NANOS_PER_MILLI
+import dev.lycheehill.core.time.TimerService
+import dev.lycheehill.fleet.FleetView
+import dev.lycheehill.fleet.membership.MemberState
+import dev.lycheehill.node.api.TargetLoad
+import java.util.concurrent.atomic.AtomicInteger
+
+/**
+ * The backend server beside this node: its registration, its lease and the calls in flight. Thread-safe.
+ *
+ * An expired lease makes the member `DRAINING`. The check in [refusal] does not depend on a timer, so a process that was
+ * paused refuses work before its first timer runs.
+ */
+class LocalTarget(
+    private val fleet: FleetView,
+    private val timers: TimerService,
+) {
+    @Volatile
+    private var registration: TargetRegistration? = null
+
+    @Volatile
+    private var leaseEndNanos = 0L
+
+    @Volatile
+    private var draining = false
+
+    private val running = AtomicInteger()
+
+    /** Smoothed duration of recent calls; 0 before the first. Concurrent updates may be lost. */
+    @Volatile
+    var meanLatencyNanos: Long = 0
+        private set
+
+    /** Latest load that the backend server reported. Reports lag or mislead, so it is shown and not used for decisions. */
+    @Volatile
+    var reportedLoad: TargetLoad? = null
+
+    /** Whether this node drains. */
+    val isDraining: Boolean get() = draining
+
+    /** Calls that the backend server is running. */
+    val inFlight: Int get() = running.get()
+
+    /** Latest announcement, or null before the first and after a withdrawal. */
+    fun registration(): TargetRegistration? = registration
+
+    /** Registers the backend server or renews its lease. */
+    @Synchronized
+    fun announce(next: TargetRegistration) {
+        val renewsSame = registration == next && !isLeaseExpired()
+        registration = next
+        leaseEndNanos = timers.nowNanos() + next.leaseMs * NANOS_PER_MILLI
+        if (!renewsSame) publish()
+    }
+
+    /** Removes the backend server. */
+    @Synchronized
+    fun withdraw() {
+        if (registration == null) return
+        registration = registration?.copy(state = MemberState.DRAINING)
+        publish()
+    }
+
+    /** Refuses all further work for this target. */
+    @Synchronized
+    fun drain() {
+        if (draining) return
+        draining = true
+        publish()
+    }
+
+    /** Publishes an expired lease. Called periodically. */
+    @Synchronized
+    fun checkLease() {
+        if (registration != null && isLeaseExpired() && fleet.self.state < MemberState.DRAINING) publish()
+    }
+
+    /** Returns the reason why new work is refused, or null. */
+    fun refusal(): String? {
+        val current = registration
+        return when {
+            draining -> "draining"
+            current == null -> "no-target"
+            isLeaseExpired() -> "lease-expired"
+            current.state >= MemberState.DRAINING -> "draining"
+            else -> null
+        }
+    }
+
+    internal fun callStarted() {
+        running.incrementAndGet()
+    }
+
+    internal fun callEnded(durationNanos: Long) {
+        running.decrementAndGet()
+        val last = meanLatencyNanos
+        meanLatencyNanos = if (last == 0L) durationNanos else last + (durationNanos - last) / LATENCY_SMOOTHING
+    }
+
+    private fun isLeaseExpired() = timers.nowNanos() - leaseEndNanos > 0
+
+    private fun publish() {
+        val current = registration
+        val state = if (refusal() != null) MemberState.DRAINING else current?.state ?: MemberState.DRAINING
+        fleet.announce(state, current?.service.orEmpty(), current?.slots ?: 0)
+    }
+
+    private companion object {
+        const val LATENCY_SMOOTHING = 8
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/TargetRegistration.kt
@@ -0,0 +1,17 @@
+package dev.lycheehill.node.target
+
+import dev.lycheehill.fleet.membership.MemberState
+
+/**
+ * What the backend server beside this node has announced.
+ *
+ * @property address `ip:port` of the backend server.
+ * @property slots calls that it can run at a time.
+ */
+data class TargetRegistration(
+    val service: String,
+    val address: String,
+    val state: MemberState,
+    val slots: Int,
+    val leaseMs: Long,
+)
