Add the local API for targets and operators

Cause: a backend server announces itself to its node, and operators read and drain the node over HTTP. Change: endpoints for the target with a lease, health, readiness, version, status of a patch, show, explain and drain, on a loopback port with an event loop of its own. jackson-module-kotlin fails at run time with the kotlin-reflect that the build resolves, so request bodies are read as JSON trees.

--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -4,6 +4,11 @@
 import dev.lycheehill.core.time.Subscription
 import dev.lycheehill.core.time.TimerService
 import dev.lycheehill.fleet.FleetView
+import dev.lycheehill.node.api.ApiEndpoint
+import dev.lycheehill.node.api.ApiHandler
+import dev.lycheehill.node.api.OperatorEndpoints
+import dev.lycheehill.node.api.ShowEndpoints
+import dev.lycheehill.node.api.TargetEndpoints
 import dev.lycheehill.node.egress.EgressEnvironment
 import dev.lycheehill.node.egress.EgressHandler
 import dev.lycheehill.node.egress.ServiceTable
@@ -23,6 +28,8 @@
 /**
  * The data path of one node: a listener for callers, one for other nodes, and the target beside it.
  *
+ * [furtherEndpoints] are added to the local API.
+ *
  * The order of use is [start], [drain], [stop]; [kill] ends the node at any time as a crash would.
  */
 class LycheehillNode(
@@ -31,6 +38,7 @@
     private val timers: TimerService,
     policies: CallPolicies = BaselinePolicies,
     transport: Transport = Transport.best(),
+    furtherEndpoints: List<ApiEndpoint> = emptyList(),
 ) {
     /** The backend server beside this node. */
     val target = LocalTarget(fleet, timers)
@@ -39,9 +47,12 @@
     private val loops = LoopContexts(group, transport, settings)
     private val allowances = CallTreeAllowances()
     private val services = ServiceTable(policies, fleet.self.zone, settings.seed)
+    private val router = Router()
     private val admission = policies.newAdmission(slots = 1, maxQueue = 40)
     private val egress = DataPathServer(settings, transport, group, egressHandler())
     private val ingress = DataPathServer(settings, transport, group, ingressHandler())
+    private val apiGroup: EventLoopGroup = Transport.NIO.newGroup(1, "lycheehill-api")
+    private val api = DataPathServer(settings, Transport.NIO, apiGroup, ApiHandler(apiEndpoints() + furtherEndpoints))
     private var subscriptions = emptyList<Subscription>()
 
     /** Address for callers. */
@@ -50,10 +61,14 @@
     /** Address for other nodes. */
     val ingressAddress: InetSocketAddress get() = ingress.address
 
+    /** Address of the local API for the target and for operators. */
+    val apiAddress: InetSocketAddress get() = api.address
+
     /** Binds the listeners and starts to serve. */
     fun start() {
         ingress.start(settings.ingressPort)
         egress.start(settings.egressPort)
+        api.start(settings.apiPort)
         subscriptions =
             listOf(
                 timers.every(LEASE_CHECK_MS) { target.checkLease() },
@@ -79,6 +94,8 @@
         subscriptions.forEach { it.cancel() }
         ingress.closeNow()
         egress.closeNow()
+        api.closeNow()
+        apiGroup.shutdownGracefully(0, KILL_WAIT_MS, TimeUnit.MILLISECONDS)
         group.shutdownGracefully(0, KILL_WAIT_MS, TimeUnit.MILLISECONDS).await(KILL_WAIT_MS)
     }
 
@@ -88,7 +105,10 @@
     }
 
     private fun egressHandler() =
-        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), Router(), services, allowances, loops))
+        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops))
+
+    private fun apiEndpoints(): List<ApiEndpoint> =
+        TargetEndpoints(target).all() + OperatorEndpoints(fleet, target, ::drain).all() + ShowEndpoints(fleet, router).all()
 
     private fun ingressHandler() = IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops))
 
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/api/ApiError.kt
@@ -0,0 +1,6 @@
+package dev.lycheehill.node.api
+
+/** JSON body of a refusal. */
+data class ApiError(
+    val error: String,
+)
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/api/ApiJson.kt
@@ -0,0 +1,33 @@
+package dev.lycheehill.node.api
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.fasterxml.jackson.core.JacksonException
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.ObjectMapper
+import com.fasterxml.jackson.databind.PropertyNamingStrategies
+
+/** JSON of the local API. Names are in snake case. */
+internal object ApiJson {
+    private val mapper = ObjectMapper().setPropertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+
+    fun write(value: Any): String = mapper.writeValueAsString(value)
+
+    /** Parses an object that has no other fields than [known], or returns what is wrong with [text]. */
+    fun readObject(
+        text: String,
+        known: Set<String>,
+    ): Either<String, JsonNode> =
+        try {
+            val node = mapper.readTree(text)
+            val unknown = node.properties().map { it.key }.filter { it !in known }
+            when {
+                !node.isObject -> "the body is not a JSON object".left()
+                unknown.isNotEmpty() -> "unknown fields $unknown; known are $known".left()
+                else -> node.right()
+            }
+        } catch (e: JacksonException) {
+            "not JSON: ${e.originalMessage}".left()
+        }
+}
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -1,6 +1,8 @@
 package dev.lycheehill.node.http
 
+import dev.lycheehill.core.Verdict
 import dev.lycheehill.node.DataPathSettings
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
@@ -185,7 +187,18 @@
         timeouts.bodyDone()
         val call = InboundCall(this, request, body.take(), ctx.channel().eventLoop())
         current = call
-        handler.handle(call)
+        serve(call)
+    }
+
+    // A fault in the handler must not leave the caller without an answer. What ran by then is not known.
+    @Suppress("TooGenericExceptionCaught")
+    private fun serve(call: InboundCall) {
+        try {
+            handler.handle(call)
+        } catch (e: RuntimeException) {
+            log.error(e) { "handler failed" }
+            NodeResponses.giveUp(call, HttpResponseStatus.INTERNAL_SERVER_ERROR, Verdict.MAY_HAVE_RUN, "internal-error")
+        }
     }
 
     private fun reject(status: HttpResponseStatus) {
@@ -231,6 +244,8 @@
         }
 
     private companion object {
+        val log = KotlinLogging.logger {}
+
         // The decoder delivers at most 8 KiB in a message, so at most 512 KiB wait on a connection.
         const val MAX_WAITING = 64
 
--- a/node/src/main/kotlin/dev/lycheehill/node/routing/Router.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/routing/Router.kt
@@ -29,6 +29,14 @@
         return RouteDecision(state.version, route, service)
     }
 
+    /** Returns all routes of [state] that match, in order of rank. */
+    fun candidates(
+        state: FoldState,
+        host: String,
+        path: String,
+        method: String,
+    ): List<Route> = tableOf(state.content).matches(host, path, method)
+
     private fun tableOf(content: ConfigContent): Compiled {
         val current = compiled
         if (current.content === content) return current
@@ -63,12 +71,23 @@
             host: String,
             path: String,
             method: String,
-        ): Route? =
-            ordered.firstOrNull {
-                (it.host == "*" || it.host.equals(host, ignoreCase = true)) &&
-                    (it.methods.isEmpty() || method in it.methods) &&
-                    covers(it.pathPrefix, path)
-            }
+        ): Route? = ordered.firstOrNull { accepts(it, host, path, method) }
+
+        fun matches(
+            host: String,
+            path: String,
+            method: String,
+        ): List<Route> = ordered.filter { accepts(it, host, path, method) }
+
+        private fun accepts(
+            route: Route,
+            host: String,
+            path: String,
+            method: String,
+        ): Boolean =
+            (route.host == "*" || route.host.equals(host, ignoreCase = true)) &&
+                (route.methods.isEmpty() || method in route.methods) &&
+                covers(route.pathPrefix, path)
 
         private fun covers(
             prefix: String,
--- a/node/src/test/kotlin/dev/lycheehill/node/TestMesh.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/TestMesh.kt
@@ -22,6 +22,7 @@
     private val policies: CallPolicies = BaselinePolicies,
     private val backendSettings: BackendSettings = BackendSettings(),
     content: ConfigContent = CONTENT,
+    announces: Boolean = true,
 ) : AutoCloseable {
     val runs = RunLog()
     val fleet = SharedFleet(content)
@@ -31,7 +32,7 @@
     val callerNode = startNode("caller")
 
     init {
-        targetNodes.forEachIndexed { index, _ -> announce(index) }
+        if (announces) targetNodes.indices.forEach { announce(it) }
     }
 
     fun caller(): RawClient = RawClient(callerNode.egressAddress)
