--- /dev/null
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/ConcurrencyLimit.kt
@@ -0,0 +1,62 @@
+package dev.lycheehill.calls.admission
+
+import dev.lycheehill.core.time.NANOS_PER_MILLI
+import kotlin.math.sqrt
+
+/**
+ * Number of calls that the backend server may run, between 1 and its slots. Not thread-safe.
+ *
+ * The limit falls while calls take more than [TOLERANCE] times their usual duration, and otherwise grows. Durations are
+ * compared with those of the same route and size, so a different mix of calls does not change the limit.
+ */
+internal class ConcurrencyLimit(
+    slots: Int,
+) {
+    private var slots = maxOf(1, slots)
+    private var limit = this.slots.toDouble()
+    private var ratioSum = 0.0
+    private var samples = 0
+    private var mostInFlight = 0
+    private var windowStartNanos = Long.MIN_VALUE
+
+    val value: Int get() = limit.toInt().coerceIn(1, slots)
+
+    fun setSlots(count: Int) {
+        val wasFull = limit >= slots
+        slots = maxOf(1, count)
+        limit = if (wasFull) slots.toDouble() else limit.coerceIn(1.0, slots.toDouble())
+    }
+
+    /** Adds a call that took [ratio] times its usual duration while [inFlight] calls ran. */
+    fun add(
+        ratio: Double,
+        inFlight: Int,
+        nowNanos: Long,
+    ) {
+        if (windowStartNanos == Long.MIN_VALUE) windowStartNanos = nowNanos
+        ratioSum += minOf(ratio, MAX_RATIO)
+        samples++
+        mostInFlight = maxOf(mostInFlight, inFlight)
+        if (samples >= MIN_SAMPLES && nowNanos - windowStartNanos >= WINDOW_MS * NANOS_PER_MILLI) close(nowNanos)
+    }
+
+    private fun close(nowNanos: Long) {
+        val gradient = (TOLERANCE * samples / ratioSum).coerceIn(MIN_GRADIENT, 1.0)
+        val isUsed = mostInFlight * 2 >= limit
+        val wanted = limit * gradient + sqrt(limit)
+        if (isUsed) limit = (limit * (1 - SMOOTHING) + wanted * SMOOTHING).coerceIn(1.0, slots.toDouble())
+        ratioSum = 0.0
+        samples = 0
+        mostInFlight = 0
+        windowStartNanos = nowNanos
+    }
+
+    private companion object {
+        const val TOLERANCE = 2.0
+        const val MIN_GRADIENT = 0.5
+        const val MAX_RATIO = 20.0
+        const val SMOOTHING = 0.2
+        const val MIN_SAMPLES = 10
+        const val WINDOW_MS = 100
+    }
+}
