--- /dev/null
+++ b/config/src/main/kotlin/dev/lycheehill/config/snapshot/SnapshotBody.kt
@@ -0,0 +1,76 @@
+package dev.lycheehill.config.snapshot
+
+import dev.lycheehill.config.fold.FoldState
+import dev.lycheehill.config.model.ConfigContent
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+
+/**
+ * Encoded form of a [Snapshot]. Entries are sorted, and refusals keep the order in which they will be evicted, so two
+ * writers produce equal bytes from equal states.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+internal class SnapshotBody(
+    val version: Long,
+    val content: ConfigContent,
+    val contentHash: String,
+    val nextOffset: Long,
+    val chainHash: String,
+    val history: Map<Long, String>,
+    val refusals: Map<String, String>,
+    val fences: List<String>,
+    val malformedRecords: Long,
+    @ByteString val homeEpochs: ByteArray,
+    val homesNextOffset: Long,
+) {
+    // The reason of a stop is left out: a reader that knows the format of the next record must not stay stopped.
+    fun toSnapshot(): Snapshot =
+        Snapshot(
+            state =
+                FoldState(
+                    version = version,
+                    content = content,
+                    contentHash = contentHash,
+                    nextOffset = nextOffset,
+                    chainHash = chainHash,
+                    history = history.toPersistentMap(),
+                    refusals = refusals.toPersistentMap(),
+                    fences = fences.toPersistentSet(),
+                    malformedRecords = malformedRecords,
+                ),
+            homeEpochs = homeEpochs,
+            homesNextOffset = homesNextOffset,
+        )
+
+    companion object {
+        fun of(snapshot: Snapshot): SnapshotBody =
+            with(snapshot.state) {
+                SnapshotBody(
+                    version = version,
+                    content = content.sorted(),
+                    contentHash = contentHash,
+                    nextOffset = nextOffset,
+                    chainHash = chainHash,
+                    history = history.toSortedMap(),
+                    refusals = refusals,
+                    fences = fences.toList(),
+                    malformedRecords = malformedRecords,
+                    homeEpochs = snapshot.homeEpochs,
+                    homesNextOffset = snapshot.homesNextOffset,
+                )
+            }
+
+        private fun ConfigContent.sorted(): ConfigContent =
+            ConfigContent(
+                services = services.toSortedMap(),
+                routes =
+                    routes.toSortedMap().mapValues { (_, route) ->
+                        route.copy(methods = route.methods.toSortedSet(), weights = route.weights.toSortedMap())
+                    },
+            )
+    }
+}
--- /dev/null
+++ b/config/src/main/kotlin/dev/lycheehill/config/snapshot/SnapshotCodec.kt
@@ -0,0 +1,91 @@
+package dev.lycheehill.config.snapshot
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import dev.lycheehill.config.log.Sha256
+import dev.lycheehill.config.model.ContentHash
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+
+/** Splits snapshots into the records of stream `snapshots` and puts them together again. */
+@OptIn(ExperimentalSerializationApi::class)
+object SnapshotCodec {
+    /** Format that this release writes and reads. */
+    const val FORMAT: Int = 1
+
+    private const val CHUNK_BYTES = SnapshotLimits.PART_BYTES - SnapshotLimits.PART_HEADER_BYTES
+    private val cbor = Cbor { encodeDefaults = true }
+
+    /** Encodes [snapshot] as one payload for each part, in order. Equal snapshots give equal bytes. */
+    fun encode(snapshot: Snapshot): Either<SnapshotError, List<ByteArray>> {
+        val whole = cbor.encodeToByteArray(SnapshotBody.of(snapshot))
+        val count = (whole.size + CHUNK_BYTES - 1) / CHUNK_BYTES
+        if (count > SnapshotLimits.MAX_PARTS) return SnapshotError.TOO_LARGE.left()
+        val checksum = Sha256.hex(whole)
+        return List(count) { index ->
+            cbor.encodeToByteArray(
+                SnapshotPart(
+                    position = snapshot.position,
+                    index = index,
+                    count = count,
+                    checksum = checksum,
+                    bytes = whole.copyOfRange(index * CHUNK_BYTES, minOf((index + 1) * CHUNK_BYTES, whole.size)),
+                ),
+            )
+        }.right()
+    }
+
+    /** Decodes one payload; null when it is no part that this release reads. Never throws. */
+    fun decodePart(payload: ByteArray): SnapshotPart? {
+        if (payload.size > SnapshotLimits.PART_BYTES) return null
+        return runCatching { cbor.decodeFromByteArray<SnapshotPart>(payload) }.getOrNull()?.takeIf { it.isPlausible() }
+    }
+
+    /** Puts [parts], given in any order, together. Refuses missing, additional, mixed and damaged parts. */
+    fun join(parts: Collection<SnapshotPart>): Either<SnapshotError, Snapshot> {
+        val first = parts.firstOrNull() ?: return SnapshotError.INCOMPLETE.left()
+        val sorted = parts.sortedBy { it.index }
+        return when {
+            parts.any { it.checksum != first.checksum || it.count != first.count } -> SnapshotError.MIXED.left()
+            sorted.map { it.index } != (0 until first.count).toList() -> SnapshotError.INCOMPLETE.left()
+            else -> decodeWhole(sorted, first)
+        }
+    }
+
+    private fun decodeWhole(
+        sorted: List<SnapshotPart>,
+        first: SnapshotPart,
+    ): Either<SnapshotError, Snapshot> {
+        val chunks = sorted.map { it.bytes }.toTypedArray()
+        if (Sha256.hex(*chunks) != first.checksum) return SnapshotError.CORRUPT.left()
+        return Either
+            .catch { cbor.decodeFromByteArray<SnapshotBody>(joined(chunks)).toSnapshot() }
+            .mapLeft { SnapshotError.CORRUPT }
+            .flatMap { if (it.isConsistent(first.position)) it.right() else SnapshotError.INCONSISTENT.left() }
+    }
+
+    private fun joined(chunks: Array<ByteArray>): ByteArray {
+        val whole = ByteArray(chunks.sumOf { it.size })
+        var position = 0
+        chunks.forEach { chunk ->
+            chunk.copyInto(whole, position)
+            position += chunk.size
+        }
+        return whole
+    }
+
+    private fun SnapshotPart.isPlausible(): Boolean =
+        format == FORMAT && count in 1..SnapshotLimits.MAX_PARTS && index in 0 until count && Sha256.isHash(checksum)
+
+    private fun Snapshot.isConsistent(expected: SnapshotPosition): Boolean =
+        position == expected &&
+            state.version in 0..state.nextOffset &&
+            Sha256.isHash(state.chainHash) &&
+            state.contentHash == ContentHash.of(state.content) &&
+            state.content.routes.values
+                .all { route -> route.weights.keys.all(state.content.services::containsKey) }
+}
--- /dev/null
+++ b/config/src/test/kotlin/dev/lycheehill/config/snapshot/SnapshotTest.kt
@@ -0,0 +1,146 @@
+package dev.lycheehill.config.snapshot
+
+import arrow.core.Either
+import dev.lycheehill.config.fold.FoldState
+import dev.lycheehill.config.fold.LogBuilder
+import dev.lycheehill.config.fold.service
+import dev.lycheehill.config.log.LogEntry
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.contentEquals
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNull
+import kotlin.random.Random
+
+class SnapshotTest {
+    private val homes = Random(5).nextBytes(300_000)
+
+    @Test
+    fun `a snapshot survives splitting and joining, and equal states give equal bytes`() {
+        val state = state(40)
+        val parts = encode(state)
+        expectThat(parts).hasSize(3).all { get { size }.isLessThanOrEqualTo(SnapshotLimits.PART_BYTES) }
+        val joined = SnapshotCodec.join(parts.shuffled(Random(5)).map { SnapshotCodec.decodePart(it)!! })
+        expectThat(joined).isA<Either.Right<Snapshot>>().get { value }.and {
+            get { this.state }.isEqualTo(state)
+            get { homeEpochs }.contentEquals(homes)
+        }
+        val again = encode(joined.getOrNull()!!.state)
+        again.forEachIndexed { index, bytes -> expectThat(bytes).contentEquals(parts[index]) }
+    }
+
+    /** Guards against a node that adopts a state put together from damaged or foreign parts. */
+    @ParameterizedTest
+    @MethodSource("damages")
+    fun `damaged parts are refused`(damage: Damage) {
+        val parts = encode(state(40))
+        val other = encode(state(41))
+        val decoded = damage.change(parts, other).map { SnapshotCodec.decodePart(it) }
+        val result = if (null in decoded) null else SnapshotCodec.join(decoded.filterNotNull()).leftOrNull()
+        expectThat(result).isEqualTo(damage.expected)
+    }
+
+    @Test
+    fun `interleaved writers give the newest whole snapshot and an older one is ignored`() {
+        val assembler = SnapshotAssembler()
+        val old = encode(state(40))
+        val new = encode(state(41))
+        val order = listOf(old[0], new[0], ByteArray(9), new[1], old[1], new[2], old[2])
+        order.forEachIndexed { index, bytes -> assembler.add(LogEntry(index.toLong(), bytes)) }
+        expectThat(assembler.newest?.state).isEqualTo(state(41))
+        expectThat(assembler.refusedRecords).isEqualTo(1)
+        old.forEach { expectThat(assembler.add(LogEntry(9, it))).isNull() }
+    }
+
+    @Test
+    fun `a stopped state is restored without the stop`() {
+        val stopped = state(3).copy(stoppedReason = "format 2")
+        expectThat(SnapshotCodec.join(encode(stopped).map { SnapshotCodec.decodePart(it)!! }).getOrNull()?.state).isEqualTo(state(3))
+    }
+
+    /** Guards against a node that returns to an older version, or that follows a different log. */
+    @ParameterizedTest
+    @MethodSource("restores")
+    fun `a snapshot is applied only when it extends the own state`(case: RestoreCase) {
+        expectThat(SnapshotRestore.apply(case.current, Snapshot(case.offered)).leftOrNull()).isEqualTo(case.expected)
+    }
+
+    @Test
+    fun `a node behind retention continues from the newest applicable snapshot`() {
+        val current = state(5)
+        expectThat(SnapshotRestore.isNeeded(current, firstRetainedOffset = 6)).isEqualTo(true)
+        val offered = listOf(3, 9, 7).map { Snapshot(state(it)) } + Snapshot(state(12, firstTimeoutMs = 77))
+        val restored = SnapshotRestore.newest(current, offered)
+        expectThat(restored).isEqualTo(state(9))
+        val log = LogBuilder(restored)
+        expectThat(log.append(log.patch(service("s10", 10))).state.version).isEqualTo(10)
+    }
+
+    class Damage(
+        private val name: String,
+        val expected: SnapshotError?,
+        val change: (List<ByteArray>, List<ByteArray>) -> List<ByteArray>,
+    ) {
+        override fun toString(): String = name
+    }
+
+    data class RestoreCase(
+        val name: String,
+        val current: FoldState,
+        val offered: FoldState,
+        val expected: SnapshotError?,
+    ) {
+        override fun toString(): String = name
+    }
+
+    private fun encode(state: FoldState): List<ByteArray> = SnapshotCodec.encode(Snapshot(state, homes, 7)).getOrNull()!!
+
+    companion object {
+        /** A log of [records] accepted patches. */
+        fun state(
+            records: Int,
+            firstTimeoutMs: Int = 1,
+        ): FoldState {
+            val log = LogBuilder()
+            repeat(records) { log.append(log.patch(service("s$it", if (it == 0) firstTimeoutMs else it))) }
+            return log.state
+        }
+
+        @JvmStatic
+        fun damages() =
+            listOf(
+                Damage("no part", SnapshotError.INCOMPLETE) { _, _ -> emptyList() },
+                Damage("a missing part", SnapshotError.INCOMPLETE) { parts, _ -> parts.drop(1) },
+                Damage("a part twice", SnapshotError.INCOMPLETE) { parts, _ -> parts + parts[0] },
+                Damage("a part of another snapshot", SnapshotError.MIXED) { parts, other -> parts.dropLast(1) + other.last() },
+                Damage("a flipped bit", SnapshotError.CORRUPT) { parts, _ ->
+                    listOf(parts[0], parts[1].clone().also { it[90_000] = (it[90_000] + 1).toByte() }, parts[2])
+                },
+                Damage("a truncated part", null) { parts, _ -> listOf(parts[0], parts[1].copyOf(500), parts[2]) },
+                Damage("bytes that are no part", null) { parts, _ -> parts + ByteArray(20) },
+            )
+
+        @JvmStatic
+        fun restores() =
+            listOf(
+                RestoreCase("ahead", state(5), state(6), null),
+                RestoreCase("ahead of the initial state", FoldState.initial(), state(6), null),
+                RestoreCase("behind", state(5), state(4), SnapshotError.OLDER),
+                RestoreCase("equal", state(5), state(5), SnapshotError.OLDER),
+                RestoreCase("equal offset, other records", state(5), state(5, firstTimeoutMs = 9), SnapshotError.DIVERGED),
+                RestoreCase("ahead with another first version", state(5), state(6, firstTimeoutMs = 9), SnapshotError.DIVERGED),
+                RestoreCase(
+                    "ahead with a lower version",
+                    state(5),
+                    LogBuilder(state(4)).append(ByteArray(1)).append(ByteArray(1)).state,
+                    SnapshotError.DIVERGED,
+                ),
+            )
+    }
+}
