Add the membership table, the failure detector and gossip

Cause: nodes need a common table of members without a coordinator. Change: merge rule, incarnations, retention of gone records, probes with suspicion and local health, gossip within a byte budget, anti-entropy by bucket hashes, joining, the messages and their CBOR encoding, the fold store, dissemination and the links.

--- /dev/null
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/FoldStore.kt
@@ -0,0 +1,97 @@
+package dev.lycheehill.fleet.dissemination
+
+import dev.lycheehill.config.fold.FoldState
+import dev.lycheehill.config.log.LogEntry
+import dev.lycheehill.fleet.message.WireRecord
+
+/**
+ * Fold state of one node and the most recent records behind it. The version and the next offset never go back.
+ *
+ * One thread writes; [state] may be read by any thread.
+ */
+internal class FoldStore(
+    initial: FoldState,
+    private val fold: (FoldState, LogEntry) -> FoldState,
+    private val maxTailRecords: Int = 1_024,
+    private val maxTailBytes: Int = 2_097_152,
+) {
+    /** Current state. */
+    @Volatile
+    var state: FoldState = initial
+        private set
+
+    private val tail = ArrayDeque<WireRecord>()
+    private var tailBytes = 0
+
+    /** Folds a record. [chainHash] is the chain hash claimed by the sender; null for a record read from the log. */
+    fun append(
+        entry: LogEntry,
+        chainHash: String? = null,
+    ): AppendResult {
+        val current = state
+        return when {
+            entry.offset < current.nextOffset -> if (contradicts(entry)) AppendResult.DIFFERENT else AppendResult.KNOWN
+            entry.offset > current.nextOffset -> AppendResult.GAP
+            current.stoppedReason != null -> AppendResult.STOPPED
+            else -> extend(fold(current, entry), entry, chainHash)
+        }
+    }
+
+    /** Takes [snapshot] if it is newer than the current state, and returns whether it was taken. */
+    fun replace(snapshot: FoldState): Boolean {
+        val current = state
+        if (snapshot.version < current.version || snapshot.nextOffset <= current.nextOffset) return false
+        state = snapshot
+        tail.clear()
+        tailBytes = 0
+        return true
+    }
+
+    /** Chain hash of the records below [nextOffset], or null if it is no longer known. */
+    fun chainAt(nextOffset: Long): String? = if (nextOffset == state.nextOffset) state.chainHash else recordAt(nextOffset - 1)?.chainHash
+
+    /** The record at [offset], or null if it is not held. */
+    fun recordAt(offset: Long): WireRecord? {
+        val first = tail.firstOrNull()?.offset ?: return null
+        return tail.getOrNull((offset - first).toInt())
+    }
+
+    /** Up to [limit] records from [offset] on, or null if they are no longer held. */
+    fun recordsFrom(
+        offset: Long,
+        limit: Int,
+    ): List<WireRecord>? {
+        val first = tail.firstOrNull()?.offset ?: return null
+        if (offset < first) return null
+        return tail.drop((offset - first).toInt()).take(limit)
+    }
+
+    /** Whether a record with another payload is held at the offset of [entry]. */
+    fun contradicts(entry: LogEntry): Boolean = recordAt(entry.offset)?.payload?.contentEquals(entry.payload) == false
+
+    // A fold that stops at a record keeps its next offset; its state then only says why.
+    private fun extend(
+        next: FoldState,
+        entry: LogEntry,
+        chainHash: String?,
+    ): AppendResult {
+        val folded = next.nextOffset == entry.offset + 1
+        if (folded && chainHash != null && chainHash != next.chainHash) return AppendResult.CHAIN_MISMATCH
+        check(next.version >= state.version) { "fold lowered the version from ${state.version} to ${next.version}" }
+        state = next
+        if (!folded) return AppendResult.STOPPED
+        keep(WireRecord(entry.offset, entry.payload, next.chainHash))
+        return AppendResult.EXTENDED
+    }
+
+    private fun keep(record: WireRecord) {
+        tail.addLast(record)
+        tailBytes += record.payload.size
+        while (tail.size > maxTailRecords || (tailBytes > maxTailBytes && tail.size > 1)) {
+            tailBytes -= tail.removeFirst().payload.size
+        }
+    }
+}
+
+/** First 64 bits of a chain hash in hex digits. They name a chain in announcements; records carry the whole hash. */
+internal fun chainPrefix(chainHash: String): Long = chainHash.take(16).toULongOrNull(16)?.toLong() ?: 0
--- /dev/null
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/FailureDetector.kt
@@ -0,0 +1,169 @@
+package dev.lycheehill.fleet.membership
+
+import dev.lycheehill.fleet.Outbox
+import dev.lycheehill.fleet.link.PeerAddress
+import dev.lycheehill.fleet.message.PeerMessage
+import kotlin.random.Random
+
+/**
+ * Probes one random member per period, directly and then through others, and suspects those that do not answer.
+ *
+ * Follows SWIM (Das et al. 2002) with the suspicion and local health of Lifeguard (Dadgar et al. 2017).
+ */
+internal class FailureDetector(
+    private val membership: Membership,
+    private val settings: MembershipSettings,
+    private val random: Random,
+    private val outbox: Outbox,
+    private val resetLink: (PeerAddress) -> Unit = {},
+) {
+    private val health = LocalHealth()
+    private val suspicions = HashMap<String, Suspicion>()
+    private val forwarded = LinkedHashMap<Long, Forward>()
+    private var probe: Probe? = null
+    private var nextProbeMs = 0L
+    private var sequence = random.nextLong(Long.MAX_VALUE / 2)
+
+    /** Time limits are multiplied by this. */
+    val healthFactor: Int get() = health.factor
+
+    fun onTick(nowMs: Long) {
+        probe?.let { advance(it, nowMs) }
+        if (probe == null && nowMs >= nextProbeMs) start(nowMs)
+        expireSuspicions(nowMs)
+    }
+
+    fun onPing(
+        from: PeerAddress,
+        ping: PeerMessage.Ping,
+        nowMs: Long,
+    ) = outbox.send(from, PeerMessage.Ack(ping.sequence, membership.piggyback(nowMs)))
+
+    fun onAck(
+        ack: PeerMessage.Ack,
+        nowMs: Long,
+    ) {
+        val forward = forwarded.remove(ack.sequence)
+        if (forward != null) {
+            outbox.send(forward.to, PeerMessage.Ack(forward.sequence, membership.piggyback(nowMs)))
+            return
+        }
+        if (probe?.sequence != ack.sequence) return
+        probe = null
+        health.record(succeeded = true)
+    }
+
+    fun onIndirectPing(
+        from: PeerAddress,
+        request: PeerMessage.IndirectPing,
+        nowMs: Long,
+    ) {
+        forwarded[++sequence] = Forward(from, request.sequence, nowMs)
+        while (forwarded.size > MAX_FORWARDS) forwarded.remove(forwarded.keys.first())
+        outbox.send(PeerAddress(request.target), PeerMessage.Ping(sequence, membership.piggyback(nowMs)))
+    }
+
+    /** Follows the state of a member whose record changed. */
+    fun onMemberChange(
+        record: MemberRecord,
+        nowMs: Long,
+    ) {
+        if (record.nodeId == membership.self.nodeId) return
+        if (record.state == MemberState.SUSPECT) {
+            suspicions[record.nodeId] = Suspicion(record.incarnation, nowMs)
+        } else {
+            suspicions.remove(record.nodeId)
+        }
+    }
+
+    /** Forgets running probes, whose time limits passed while the process was paused. */
+    fun onPause(nowMs: Long) {
+        probe = null
+        nextProbeMs = nowMs + settings.probePeriodMs
+        suspicions.replaceAll { _, suspicion -> Suspicion(suspicion.incarnation, nowMs) }
+    }
+
+    private fun start(nowMs: Long) {
+        nextProbeMs = nowMs + settings.probePeriodMs
+        val target = membership.randomPeer() ?: return
+        val started = Probe(target, ++sequence, nowMs)
+        probe = started
+        outbox.send(PeerAddress(target.controlAddress), PeerMessage.Ping(started.sequence, membership.piggyback(nowMs)))
+    }
+
+    private fun advance(
+        current: Probe,
+        nowMs: Long,
+    ) {
+        val waitedMs = nowMs - current.startedMs
+        val timeoutMs = settings.probeTimeoutMs * health.factor
+        if (!current.indirect && waitedMs >= timeoutMs) probeThroughOthers(current, nowMs)
+        if (waitedMs >= settings.probePeriodMs * health.factor) fail(current, nowMs)
+    }
+
+    // The cached connection may be silent while new ones work, so the repeated direct probe opens a new one.
+    private fun probeThroughOthers(
+        current: Probe,
+        nowMs: Long,
+    ) {
+        current.indirect = true
+        val target = PeerAddress(current.target.controlAddress)
+        resetLink(target)
+        outbox.send(target, PeerMessage.Ping(current.sequence, membership.piggyback(nowMs)))
+        membership
+            .randomPeers(settings.indirectProbes + 1)
+            .filter { it.nodeId != current.target.nodeId }
+            .take(settings.indirectProbes)
+            .forEach {
+                val request = PeerMessage.IndirectPing(current.sequence, target.text, membership.piggyback(nowMs))
+                outbox.send(PeerAddress(it.controlAddress), request)
+            }
+    }
+
+    private fun fail(
+        current: Probe,
+        nowMs: Long,
+    ) {
+        probe = null
+        health.record(succeeded = false)
+        val held = membership.table.live[current.target.nodeId] ?: return
+        if (!health.maySuspect || held.incarnation != current.target.incarnation || held.state == MemberState.SUSPECT) return
+        if (held.state == MemberState.DRAINING) {
+            suspicions.putIfAbsent(held.nodeId, Suspicion(held.incarnation, nowMs))
+        } else {
+            membership.accept(held.copy(state = MemberState.SUSPECT), nowMs)
+        }
+    }
+
+    private fun expireSuspicions(nowMs: Long) {
+        val limitMs = settings.suspicionMs * health.factor
+        val expired = suspicions.filterValues { nowMs - it.sinceMs >= limitMs }
+        expired.forEach { (nodeId, suspicion) ->
+            suspicions.remove(nodeId)
+            val held = membership.table.live[nodeId]
+            if (held?.incarnation == suspicion.incarnation) membership.accept(held.copy(state = MemberState.GONE), nowMs)
+        }
+    }
+
+    private class Probe(
+        val target: MemberRecord,
+        val sequence: Long,
+        val startedMs: Long,
+        var indirect: Boolean = false,
+    )
+
+    private class Suspicion(
+        val incarnation: Long,
+        val sinceMs: Long,
+    )
+
+    private class Forward(
+        val to: PeerAddress,
+        val sequence: Long,
+        val sinceMs: Long,
+    )
+
+    private companion object {
+        const val MAX_FORWARDS = 256
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/message/PeerMessage.kt
@@ -0,0 +1,166 @@
+package dev.lycheehill.fleet.message
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A message between nodes. Type and field names are short because they travel with each message. */
+@Serializable
+sealed interface PeerMessage {
+    /** First message on a connection; names the sender's own address, to which answers go. */
+    @Serializable
+    @SerialName("he")
+    data class Hello(
+        @SerialName("a") val address: String,
+    ) : PeerMessage
+
+    /** Probe of the failure detector. */
+    @Serializable
+    @SerialName("pi")
+    data class Ping(
+        @SerialName("s") val sequence: Long,
+        @SerialName("m") val members: List<WireMember> = emptyList(),
+    ) : PeerMessage
+
+    /** Answer to [Ping]. */
+    @Serializable
+    @SerialName("ak")
+    data class Ack(
+        @SerialName("s") val sequence: Long,
+        @SerialName("m") val members: List<WireMember> = emptyList(),
+    ) : PeerMessage
+
+    /** Asks the receiver to probe [target] and to forward the answer. */
+    @Serializable
+    @SerialName("pr")
+    data class IndirectPing(
+        @SerialName("s") val sequence: Long,
+        @SerialName("t") val target: String,
+        @SerialName("m") val members: List<WireMember> = emptyList(),
+    ) : PeerMessage
+
+    /** Changed member records and facts. */
+    @Serializable
+    @SerialName("go")
+    data class Gossip(
+        @SerialName("m") val members: List<WireMember> = emptyList(),
+        @SerialName("f") val facts: List<WireFact> = emptyList(),
+    ) : PeerMessage
+
+    /** Request of a starting node for the whole membership table. */
+    @Serializable
+    @SerialName("jo")
+    data class Join(
+        @SerialName("m") val member: WireMember,
+    ) : PeerMessage
+
+    /** State of the sender, sent each second to one peer. [memberHash] is null while the sender's table changes. */
+    @Serializable
+    @SerialName("di")
+    data class Digest(
+        @SerialName("o") val nextOffset: Long,
+        @SerialName("h") val chain: Long,
+        @SerialName("m") val memberHash: Int? = null,
+    ) : PeerMessage
+
+    /** Hash of each bucket of the sender's membership table. */
+    @Serializable
+    @SerialName("bh")
+    class BucketHashes(
+        @SerialName("b") val hashes: IntArray,
+    ) : PeerMessage
+
+    /** All records of some buckets. With [answer] set, the receiver returns its records of the same buckets. */
+    @Serializable
+    @SerialName("ms")
+    data class MemberSync(
+        @SerialName("b") val buckets: List<Int>,
+        @SerialName("m") val members: List<WireMember>,
+        @SerialName("a") val answer: Boolean = false,
+    ) : PeerMessage
+
+    /** The sender holds the records below [nextOffset]; [chain] is the start of their chain hash. */
+    @Serializable
+    @SerialName("an")
+    data class Announce(
+        @SerialName("o") val nextOffset: Long,
+        @SerialName("h") val chain: Long,
+    ) : PeerMessage
+
+    /** Asks for the records from [fromOffset] on. [chain] is the start of the sender's chain hash. */
+    @Serializable
+    @SerialName("rr")
+    data class RecordsRequest(
+        @SerialName("o") val fromOffset: Long,
+        @SerialName("h") val chain: Long,
+    ) : PeerMessage
+
+    /** Consecutive records; empty when the sender cannot extend the receiver's chain. */
+    @Serializable
+    @SerialName("re")
+    data class Records(
+        @SerialName("r") val records: List<WireRecord>,
+    ) : PeerMessage
+
+    /** Asks for part [part] of the snapshot at [nextOffset]. */
+    @Serializable
+    @SerialName("sr")
+    data class SnapshotRequest(
+        @SerialName("o") val nextOffset: Long,
+        @SerialName("p") val part: Int,
+    ) : PeerMessage
+
+    /** Part [part] of the [parts] parts of the snapshot at [nextOffset]. */
+    @Serializable
+    @SerialName("sp")
+    class SnapshotPart(
+        @SerialName("o") val nextOffset: Long,
+        @SerialName("p") val part: Int,
+        @SerialName("n") val parts: Int,
+        @SerialName("b") val bytes: ByteArray,
+    ) : PeerMessage
+
+    /** The sender serves as many transfers as it may; ask again after [retryAfterMs]. */
+    @Serializable
+    @SerialName("bu")
+    data class Busy(
+        @SerialName("r") val retryAfterMs: Long,
+    ) : PeerMessage
+
+    /** Summary of the subtree of [nodeId], sent to its parent in the acknowledgement tree. */
+    @Serializable
+    @SerialName("za")
+    data class ZoneAck(
+        @SerialName("n") val nodeId: String,
+        @SerialName("s") val summary: ZoneSummary,
+    ) : PeerMessage
+
+    /** Asks the root of a zone for its summary. */
+    @Serializable
+    @SerialName("sq")
+    data object StatusRequest : PeerMessage
+
+    /** Summary of a whole zone, sent by its root. */
+    @Serializable
+    @SerialName("zs")
+    data class ZoneStatus(
+        @SerialName("s") val summary: ZoneSummary,
+    ) : PeerMessage
+
+    /** Request of another module of the sender. */
+    @Serializable
+    @SerialName("rq")
+    class Request(
+        @SerialName("i") val id: Long,
+        @SerialName("n") val nodeId: String,
+        @SerialName("t") val topic: String,
+        @SerialName("b") val bytes: ByteArray,
+    ) : PeerMessage
+
+    /** Answer to [Request]; [bytes] is null when the receiver has no handler or the handler failed. */
+    @Serializable
+    @SerialName("rs")
+    class Response(
+        @SerialName("i") val id: Long,
+        @SerialName("b") val bytes: ByteArray?,
+    ) : PeerMessage
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/message/WireMember.kt
@@ -0,0 +1,38 @@
+package dev.lycheehill.fleet.message
+
+import dev.lycheehill.fleet.membership.MemberRecord
+import dev.lycheehill.fleet.membership.MemberState
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** [MemberRecord] as sent between nodes. The field names are short because gossip repeats them in each record. */
+@Serializable
+data class WireMember(
+    @SerialName("n") val nodeId: String,
+    @SerialName("i") val incarnation: Long,
+    @SerialName("s") val state: Int,
+    @SerialName("z") val zone: String,
+    @SerialName("r") val region: String,
+    @SerialName("v") val service: String = "",
+    @SerialName("c") val controlAddress: String,
+    @SerialName("d") val dataAddress: String,
+    @SerialName("l") val slots: Int = 0,
+) {
+    /** Estimated encoded size, used for byte budgets. */
+    val sizeBytes: Int
+        get() = FIXED_BYTES + nodeId.length + zone.length + region.length + service.length + controlAddress.length + dataAddress.length
+
+    /** Returns the record, or null when the state is unknown to this release. */
+    fun toRecord(): MemberRecord? =
+        MemberState.entries.getOrNull(state)?.let {
+            MemberRecord(nodeId, incarnation, it, zone, region, service, controlAddress, dataAddress, slots)
+        }
+
+    private companion object {
+        const val FIXED_BYTES = 38
+    }
+}
+
+/** Returns the form of this record that is sent between nodes. */
+fun MemberRecord.toWire(): WireMember =
+    WireMember(nodeId, incarnation, state.ordinal, zone, region, service, controlAddress, dataAddress, slots)
