--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/FoldStore.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/FoldStore.kt
@@ -1,6 +1,7 @@
 package dev.lycheehill.fleet.dissemination
 
 import dev.lycheehill.config.fold.FoldState
+import dev.lycheehill.config.log.ChainHash
 import dev.lycheehill.config.log.LogEntry
 import dev.lycheehill.fleet.message.WireRecord
 
@@ -33,7 +34,8 @@
             entry.offset < current.nextOffset -> if (contradicts(entry)) AppendResult.DIFFERENT else AppendResult.KNOWN
             entry.offset > current.nextOffset -> AppendResult.GAP
             current.stoppedReason != null -> AppendResult.STOPPED
-            else -> extend(fold(current, entry), entry, chainHash)
+            chainHash != null && chainHash != ChainHash.next(current.chainHash, entry) -> AppendResult.CHAIN_MISMATCH
+            else -> extend(fold(current, entry), entry)
         }
     }
 
@@ -73,13 +75,10 @@
     private fun extend(
         next: FoldState,
         entry: LogEntry,
-        chainHash: String?,
     ): AppendResult {
-        val folded = next.nextOffset == entry.offset + 1
-        if (folded && chainHash != null && chainHash != next.chainHash) return AppendResult.CHAIN_MISMATCH
         check(next.version >= state.version) { "fold lowered the version from ${state.version} to ${next.version}" }
         state = next
-        if (!folded) return AppendResult.STOPPED
+        if (next.nextOffset == entry.offset) return AppendResult.STOPPED
         keep(WireRecord(entry.offset, entry.payload, next.chainHash))
         return AppendResult.EXTENDED
     }
