Record a span for each hop with OpenTelemetry

Cause: an operator needs to see where a failed call went, hop by hop. Spans hold route, version, target, attempt, verdict and queue time. Failed spans are always kept; others are kept when their trace is sampled.

--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/tracing/KeptSpanProcessor.kt
@@ -0,0 +1,63 @@
+package dev.lycheehill.node.tracing
+
+import io.opentelemetry.context.Context
+import io.opentelemetry.sdk.common.CompletableResultCode
+import io.opentelemetry.sdk.trace.ReadWriteSpan
+import io.opentelemetry.sdk.trace.ReadableSpan
+import io.opentelemetry.sdk.trace.SpanProcessor
+
+/** Passes spans that are sampled or failed to [ring] and to [export]; drops the others. */
+internal class KeptSpanProcessor(
+    private val ring: SpanRing,
+    private val nodeId: String,
+    private val zone: String,
+    private val export: SpanProcessor?,
+) : SpanProcessor {
+    override fun onStart(
+        parentContext: Context,
+        span: ReadWriteSpan,
+    ) = Unit
+
+    override fun isStartRequired(): Boolean = false
+
+    override fun onEnd(span: ReadableSpan) {
+        val failed = span.getAttribute(SpanAttributes.FAILED) ?: true
+        if (!failed && !span.spanContext.isSampled) return
+        ring.add(recorded(span, failed))
+        export?.onEnd(span)
+    }
+
+    override fun isEndRequired(): Boolean = true
+
+    override fun shutdown(): CompletableResultCode = export?.shutdown() ?: CompletableResultCode.ofSuccess()
+
+    override fun forceFlush(): CompletableResultCode = export?.forceFlush() ?: CompletableResultCode.ofSuccess()
+
+    private fun recorded(
+        span: ReadableSpan,
+        failed: Boolean,
+    ): RecordedSpan =
+        RecordedSpan(
+            traceId = span.spanContext.traceId,
+            spanId = span.spanContext.spanId,
+            parentSpanId = span.parentSpanContext.takeIf { it.isValid }?.spanId,
+            hop = Hop.valueOf(span.getAttribute(SpanAttributes.HOP) ?: Hop.EGRESS.name),
+            nodeId = nodeId,
+            zone = zone,
+            startEpochMicros = span.toSpanData().startEpochNanos / NANOS_PER_MICRO,
+            durationMicros = span.latencyNanos / NANOS_PER_MICRO,
+            failed = failed,
+            route = span.getAttribute(SpanAttributes.ROUTE),
+            version = span.getAttribute(SpanAttributes.VERSION) ?: 0,
+            target = span.getAttribute(SpanAttributes.TARGET),
+            attempt = span.getAttribute(SpanAttributes.ATTEMPT)?.toInt() ?: 0,
+            verdict = span.getAttribute(SpanAttributes.VERDICT).orEmpty(),
+            queueMicros = span.getAttribute(SpanAttributes.QUEUE_MICROS) ?: 0,
+            status = span.getAttribute(SpanAttributes.STATUS)?.toInt(),
+            reason = span.getAttribute(SpanAttributes.REASON),
+        )
+
+    private companion object {
+        const val NANOS_PER_MICRO = 1_000
+    }
+}
