--- a/node/src/main/kotlin/dev/lycheehill/node/settings/SettingsReader.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/settings/SettingsReader.kt
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.dataformat.toml.TomlMapper
+import dev.lycheehill.config.toml.NearestKey
+import dev.lycheehill.config.toml.TomlLines
 
 /**
  * Reads typed values from one TOML text and collects every fault.
@@ -16,7 +18,7 @@
 class SettingsReader private constructor(
     private val file: String,
     private val values: Map<String, JsonNode>,
-    private val lines: Map<String, Int>,
+    private val lines: TomlLines,
 ) {
     private val faults = mutableListOf<SettingsFault>()
     private val effective = mutableListOf<EffectiveSetting>()
@@ -76,7 +78,7 @@
         key: String,
         message: String,
     ) {
-        faults += SettingsFault(file, lines[key], key, message)
+        faults += SettingsFault(file, lines.lineOf(key.split('.')).takeIf { it > 0 }, key, message)
     }
 
     private fun <T : Any> value(
@@ -109,7 +111,7 @@
         val known = effective.map { it.key }
         val tables = effective.map { it.table }.toSet()
         for (key in values.keys - known.toSet() - values.filter { it.value.isObject }.keys.intersect(tables)) {
-            fault(key, "unknown key; the nearest known key is ${NearestName.of(key, known)}")
+            fault(key, "unknown key${NearestKey.hint(key, known)}")
         }
     }
 
@@ -130,7 +132,7 @@
             schema: (SettingsReader) -> T,
         ): Either<SettingsError, LoadedSettings<T>> =
             try {
-                val reader = SettingsReader(file, flatten(MAPPER.readTree(text)), TomlLines.index(text))
+                val reader = SettingsReader(file, flatten(MAPPER.readTree(text)), TomlLines.of(text))
                 reader.finish(schema(reader))
             } catch (e: JsonProcessingException) {
                 SettingsError(listOf(SettingsFault(file, e.location?.lineNr, null, "not TOML: ${e.originalMessage}"))).left()
--- a/node/src/test/kotlin/dev/lycheehill/node/settings/NodeSettingsTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/settings/NodeSettingsTest.kt
@@ -19,13 +19,13 @@
         delimiter = '|',
         value = [
             "id = \"catalogue-1\" | id = 7 | n.toml:5: node.id: expected a name of lower-case letters, digits, dots and dashes, found 7",
-            "zone = \"lakes-a\" | '' | n.toml: node.zone: required key is missing",
+            "zone = \"lakes-a\" | '' | n.toml:4: node.zone: required key is missing",
             "lease_ms = 5000 | lease_ms = 999 | n.toml:8: node.lease_ms: " +
                 "expected a whole number of milliseconds from 1000 to 60000, found 999",
             "lease_ms = 5000 | lease_ms = \"5 s\" | n.toml:8: node.lease_ms: " +
                 "expected a whole number of milliseconds from 1000 to 60000, found \"5 s\"",
             "lease_ms = 5000 | lease_seconds = 5 | n.toml:8: node.lease_seconds: " +
-                "unknown key; the nearest known key is node.lease_ms",
+                "unknown key; did you mean \"node.lease_ms\"?",
             "egress = \"127.0.0.1:7100\" | egress = \"127.0.0.1:70000\" | n.toml:12: addresses.egress: " +
                 "expected an address such as \"127.0.0.1:7000\", found \"127.0.0.1:70000\"",
             "egress = \"127.0.0.1:7100\" | egress = \"127.0.0.1:7103\" | n.toml:15: addresses.local_api: " +
@@ -34,8 +34,8 @@
                 "expected a list of strings, each an address such as \"127.0.0.1:7000\", found [7,\"127.0.0.1:7302\"]",
             "sample_percent = 1  | sample_percent = 1.5 | n.toml:42: tracing.sample_percent: " +
                 "expected a whole number of percent from 0 to 100, found 1.5",
-            "# [tls] | [tls] | n.toml: tls.certificate_file: required key is missing, because table tls is present",
-            "[tracing] | [traces] | n.toml:42: traces.sample_percent: unknown key; the nearest known key is tracing.sample_percent",
+            "# [tls] | [tls] | n.toml:35: tls.certificate_file: required key is missing, because table tls is present",
+            "[tracing] | [traces] | n.toml:42: traces.sample_percent: unknown key; did you mean \"tracing.sample_percent\"?",
         ],
     )
     fun `a wrong setting is refused with file, line and key`(
