--- /dev/null
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/HistoryCommand.kt
@@ -0,0 +1,14 @@
+package dev.lycheehill.cli.command
+
+import picocli.CommandLine.Command
+
+/** Lists the latest versions with their patches. */
+@Command(
+    name = "history",
+    mixinStandardHelpOptions = true,
+    description = ["Lists the latest versions and the patches that made them."],
+    footer = ["", "Example: lycheehill history --json"],
+)
+class HistoryCommand : ReadCommand() {
+    override fun call(): Int = show(node.client().get("/v1/show/versions"))
+}
--- /dev/null
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/QuarantineListCommand.kt
@@ -0,0 +1,14 @@
+package dev.lycheehill.cli.command
+
+import picocli.CommandLine.Command
+
+/** Lists quarantined requests. */
+@Command(
+    name = "list",
+    mixinStandardHelpOptions = true,
+    description = ["Lists the request fingerprints that are refused, with the time left."],
+    footer = ["", "Example: lycheehill quarantine list --json"],
+)
+class QuarantineListCommand : ReadCommand() {
+    override fun call(): Int = show(node.client().get("/v1/quarantine"))
+}
