--- a/config/src/main/kotlin/dev/lycheehill/config/fold/ConfigFold.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/fold/ConfigFold.kt
@@ -1,9 +1,12 @@
 package dev.lycheehill.config.fold
 
 import arrow.core.Either
+import dev.lycheehill.config.home.DomainHomes
+import dev.lycheehill.config.home.HomeLimits
 import dev.lycheehill.config.log.ChainHash
 import dev.lycheehill.config.log.DecodedRecord
 import dev.lycheehill.config.log.FenceRecord
+import dev.lycheehill.config.log.HomeEpochRecord
 import dev.lycheehill.config.log.LogEntry
 import dev.lycheehill.config.log.PatchId
 import dev.lycheehill.config.log.PatchRecord
@@ -36,6 +39,7 @@
                 when (val record = decoded.record) {
                     is PatchRecord -> state.passed(entry).withPatch(record)
                     is FenceRecord -> state.passed(entry).withFence(record)
+                    is HomeEpochRecord -> state.passed(entry).withHomes(record)
                 }
         }
     }
@@ -74,6 +78,20 @@
         return if (added.size > FoldLimits.FENCES) next(content, contentHash, patchId = "") else copy(fences = added)
     }
 
+    private fun FoldState.withHomes(record: HomeEpochRecord): FoldState {
+        val current = homes[record.domain]
+        if (record.previousEpoch != (current?.epoch ?: 0L)) return this
+        if (current == null && homes.size >= HomeLimits.DOMAINS) return this
+        val next =
+            DomainHomes(
+                epoch = record.previousEpoch + 1,
+                members = record.members,
+                previousMembers = current?.members.orEmpty(),
+                reset = record.reset,
+            )
+        return copy(homes = homes.put(record.domain, next))
+    }
+
     private fun FoldState.next(
         newContent: ConfigContent,
         newHash: String,
--- a/config/src/main/kotlin/dev/lycheehill/config/fold/FoldState.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/fold/FoldState.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.config.fold
 
+import dev.lycheehill.config.home.DomainHomes
 import dev.lycheehill.config.log.ChainHash
 import dev.lycheehill.config.model.ConfigContent
 import dev.lycheehill.config.model.ContentHash
@@ -17,6 +18,7 @@
  * @property history patch id by version for the most recent versions; the empty string for a version without a patch.
  * @property refusals reason by patch id, for recently refused patches.
  * @property fences patch ids that are refused while the version stays the same.
+ * @property homes current home epoch by key domain.
  * @property malformedRecords number of folded records that were no valid record.
  * @property stoppedReason reason why the fold follows the log no further, or null.
  */
@@ -29,6 +31,7 @@
     val history: PersistentMap<Long, String> = persistentMapOf(),
     val refusals: PersistentMap<String, String> = persistentMapOf(),
     val fences: PersistentSet<String> = persistentSetOf(),
+    val homes: PersistentMap<String, DomainHomes> = persistentMapOf(),
     val malformedRecords: Long = 0,
     val stoppedReason: String? = null,
 ) {
--- a/config/src/main/kotlin/dev/lycheehill/config/log/FenceRecord.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/log/FenceRecord.kt
@@ -8,4 +8,4 @@
     val format: Int = RecordCodec.FORMAT,
     val kind: String = RecordCodec.KIND_FENCE,
     override val patchId: String,
-) : ConfigRecord
+) : PatchScopedRecord
--- a/config/src/main/kotlin/dev/lycheehill/config/log/PatchRecord.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/log/PatchRecord.kt
@@ -18,7 +18,7 @@
     val baseHash: String,
     val text: String,
     val author: String = "",
-) : ConfigRecord {
+) : PatchScopedRecord {
     companion object {
         /** Creates the record of [text] against the given base, with its id. */
         fun of(
--- a/config/src/main/kotlin/dev/lycheehill/config/log/RecordCodec.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/log/RecordCodec.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.config.log
 
+import dev.lycheehill.config.home.HomeLimits
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
@@ -22,6 +23,7 @@
 
     internal const val KIND_PATCH = "patch"
     internal const val KIND_FENCE = "fence"
+    internal const val KIND_HOME_EPOCH = "home-epoch"
 
     private val strict = Cbor { encodeDefaults = true }
     private val lenient = Cbor { ignoreUnknownKeys = true }
@@ -31,6 +33,7 @@
         when (record) {
             is PatchRecord -> strict.encodeToByteArray(record)
             is FenceRecord -> strict.encodeToByteArray(record)
+            is HomeEpochRecord -> strict.encodeToByteArray(record)
         }
 
     /** Decodes [payload]. Never throws. */
@@ -50,6 +53,7 @@
         when (val kind = lenient.decodeFromByteArray<KindHeader>(payload).kind) {
             KIND_PATCH -> checked(strict.decodeFromByteArray<PatchRecord>(payload))
             KIND_FENCE -> checked(strict.decodeFromByteArray<FenceRecord>(payload))
+            KIND_HOME_EPOCH -> checked(strict.decodeFromByteArray<HomeEpochRecord>(payload))
             else -> DecodedRecord.Malformed("unknown kind '${kind.take(MAX_QUOTED_CHARS)}'")
         }
 
@@ -68,6 +72,15 @@
             DecodedRecord.Known(record)
         }
 
+    private fun checked(record: HomeEpochRecord): DecodedRecord =
+        when {
+            record.domain.isEmpty() || record.domain.length > HomeLimits.DOMAIN_CHARS -> DecodedRecord.Malformed("bad domain name")
+            record.members.size > HomeLimits.MEMBERS -> DecodedRecord.Malformed("more than ${HomeLimits.MEMBERS} members")
+            record.members.any { it.weight < 0 } -> DecodedRecord.Malformed("negative weight")
+            record.members.distinctBy { it.nodeId }.size < record.members.size -> DecodedRecord.Malformed("member named twice")
+            else -> DecodedRecord.Known(record)
+        }
+
     private fun PatchRecord.expectedId(): String = PatchId.of(baseVersion, baseHash, text).value
 
     private const val MAX_QUOTED_CHARS = 40
--- a/config/src/main/kotlin/dev/lycheehill/config/log/Streams.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/log/Streams.kt
@@ -2,12 +2,9 @@
 
 /** Names of the streams of the platform's log. */
 object Streams {
-    /** Patches and fences. */
+    /** Patches, fences and home epochs. */
     const val CONFIG: String = "config"
 
     /** Snapshots of the fold state. */
     const val SNAPSHOTS: String = "snapshots"
-
-    /** Home epochs of the key domains. */
-    const val HOMES: String = "homes"
 }
--- a/config/src/main/kotlin/dev/lycheehill/config/snapshot/SnapshotBody.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/snapshot/SnapshotBody.kt
@@ -1,18 +1,16 @@
 package dev.lycheehill.config.snapshot
 
 import dev.lycheehill.config.fold.FoldState
+import dev.lycheehill.config.home.DomainHomes
 import dev.lycheehill.config.model.ConfigContent
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
-import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.cbor.ByteString
 
 /**
  * Encoded form of a [Snapshot]. Entries are sorted, and refusals keep the order in which they will be evicted, so two
  * writers produce equal bytes from equal states.
  */
-@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal class SnapshotBody(
     val version: Long,
@@ -24,8 +22,7 @@
     val refusals: Map<String, String>,
     val fences: List<String>,
     val malformedRecords: Long,
-    @ByteString val homeEpochs: ByteArray,
-    val homesNextOffset: Long,
+    val homes: Map<String, DomainHomes>,
 ) {
     // The reason of a stop is left out: a reader that knows the format of the next record must not stay stopped.
     fun toSnapshot(): Snapshot =
@@ -40,10 +37,9 @@
                     history = history.toPersistentMap(),
                     refusals = refusals.toPersistentMap(),
                     fences = fences.toPersistentSet(),
+                    homes = homes.toPersistentMap(),
                     malformedRecords = malformedRecords,
                 ),
-            homeEpochs = homeEpochs,
-            homesNextOffset = homesNextOffset,
         )
 
     companion object {
@@ -59,8 +55,7 @@
                     refusals = refusals,
                     fences = fences.toList(),
                     malformedRecords = malformedRecords,
-                    homeEpochs = snapshot.homeEpochs,
-                    homesNextOffset = snapshot.homesNextOffset,
+                    homes = homes.toSortedMap(),
                 )
             }
 
