--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetAgent.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetAgent.kt
@@ -8,8 +8,9 @@
 import dev.lycheehill.core.time.nowMs
 import dev.lycheehill.fleet.dissemination.DisseminationCounters
 import dev.lycheehill.fleet.dissemination.FoldStore
+import dev.lycheehill.fleet.dissemination.HomeEpochStore
 import dev.lycheehill.fleet.dissemination.LogReader
-import dev.lycheehill.fleet.dissemination.SnapshotCodec
+import dev.lycheehill.fleet.dissemination.SnapshotStream
 import dev.lycheehill.fleet.link.Link
 import dev.lycheehill.fleet.link.PeerAddress
 import dev.lycheehill.fleet.membership.MemberRecord
@@ -35,7 +36,7 @@
  * snapshots and may be called from any thread.
  *
  * @param identity the node's record; its incarnation is raised to the wall clock, so that a restart supersedes the last run.
- * @param codec encoding of snapshots; it also carries what other modules fold from their own streams.
+ * @param homes home epochs, which travel with the snapshots.
  * @param seeds addresses of other nodes to join by; the node's own address among them is ignored.
  * @param seed seed of all random choices.
  */
@@ -44,12 +45,12 @@
     private val link: Link,
     log: PlatformLog,
     private val timers: TimerService,
-    codec: SnapshotCodec,
     seeds: List<PeerAddress> = emptyList(),
     private val settings: FleetSettings = FleetSettings(),
     seed: Long = Random.nextLong(),
     private val control: Executor = FleetThreads.daemon("fleet-control-${identity.nodeId}"),
-    private val worker: Executor = FleetThreads.daemon("fleet-log-${identity.nodeId}"),
+    private val worker: Executor = FleetThreads.daemon("fleet-log-${identity.nodeId}", threads = 2),
+    homes: HomeEpochStore = HomeEpochStore.Empty,
     initialState: FoldState = FoldState.initial(),
 ) : FleetView {
     /** Counters of dissemination. */
@@ -69,14 +70,23 @@
             settings = settings,
             random = random,
             store = store,
-            codec = codec,
             counters = counters,
+            homes = homes,
             outbox = { peer, message -> link.send(peer, message) },
             nowMs = timers::nowMs,
             events = Events(),
             resetLink = link::reset,
         )
     private val facts = Messenger(core.membership, link, onControl, Random(seed + 1), timers::nowMs)
+    private val snapshots =
+        SnapshotStream(
+            log = log,
+            control = onControl,
+            worker = worker,
+            nowMs = timers::nowMs,
+            current = core.dissemination::snapshot,
+            onSnapshot = { core.dissemination.onLogSnapshot(it, timers.nowMs()) },
+        )
     private val reader =
         LogReader(
             log = log,
@@ -88,7 +98,7 @@
             nowMs = timers::nowMs,
             isReader = { !stopped && core.isReader() },
             onEntries = ::onLogEntries,
-            onTooOld = ::loadSnapshot,
+            onTooOld = { snapshots.catchUp() },
             onDivergence = ::onDivergence,
         )
 
@@ -107,6 +117,9 @@
     /** Reason why the log is not followed, or null. */
     val logDivergence: String? get() = reader.divergence
 
+    /** Snapshots that this node has written to the log. */
+    val snapshotsWritten: Long get() = snapshots.written
+
     /** Traffic of the node's link. */
     val traffic get() = link.counters
 
@@ -158,7 +171,7 @@
         subscriptions.forEach { it.cancel() }
         link.close()
         runCatching { control.execute { facts.stop() } }
-        listOf(control, worker).filterIsInstance<FleetThreads.Daemon>().forEach { it.close() }
+        listOf(control, worker).filterIsInstance<FleetThreads.Owned>().forEach { it.close() }
     }
 
     override fun inForce(version: Long): InForceReport {
@@ -198,6 +211,8 @@
         core.onTick(now)
         facts.onTick(now)
         reader.poll()
+        val mayWrite = core.isReader() && reader.divergence == null
+        if (mayWrite) snapshots.onTick(self.nodeId, core.allReaders(), reader.followedAtMs)
     }
 
     private fun onLogEntries(entries: List<LogEntry>): Boolean {
@@ -211,8 +226,6 @@
         logger.error { "log_divergence node=${self.nodeId} reason=\"$reason\"" }
     }
 
-    private fun loadSnapshot() = Unit
-
     private fun onControl(task: () -> Unit) {
         try {
             control.execute { if (!stopped) task() }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetCore.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetCore.kt
@@ -5,7 +5,7 @@
 import dev.lycheehill.fleet.dissemination.Dissemination
 import dev.lycheehill.fleet.dissemination.DisseminationCounters
 import dev.lycheehill.fleet.dissemination.FoldStore
-import dev.lycheehill.fleet.dissemination.SnapshotCodec
+import dev.lycheehill.fleet.dissemination.HomeEpochStore
 import dev.lycheehill.fleet.link.PeerAddress
 import dev.lycheehill.fleet.membership.AntiEntropy
 import dev.lycheehill.fleet.membership.FailureDetector
@@ -29,15 +29,15 @@
     private val settings: FleetSettings,
     private val random: Random,
     private val store: FoldStore,
-    codec: SnapshotCodec,
     counters: DisseminationCounters,
+    homes: HomeEpochStore,
     private val outbox: Outbox,
     private val nowMs: () -> Long,
     private val events: FleetEvents,
     resetLink: (PeerAddress) -> Unit,
 ) {
     val membership = Membership(initial, settings.membership, random, outbox, ::onMemberChange)
-    val dissemination = Dissemination(store, membership, settings.dissemination, random, outbox, codec, counters, events::onConfig)
+    val dissemination = Dissemination(store, membership, settings.dissemination, random, outbox, counters, homes, events::onConfig)
     val ackTree = AckTree(membership, { store.state.version }, outbox)
     private val detector = FailureDetector(membership, settings.membership, random, outbox, resetLink)
     private val antiEntropy = AntiEntropy(membership, random, outbox)
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetThreads.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetThreads.kt
@@ -1,21 +1,34 @@
 package dev.lycheehill.fleet
 
 import java.util.concurrent.Executor
-import java.util.concurrent.ExecutorService
-import java.util.concurrent.Executors
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
 
 /** Threads that a [FleetAgent] creates for itself. */
 internal object FleetThreads {
-    /** Returns an executor with one daemon thread. */
-    fun daemon(name: String): Executor = Daemon(Executors.newSingleThreadExecutor { task -> Thread(task, name).apply { isDaemon = true } })
+    private const val KEEP_ALIVE_S = 30L
+
+    /** Returns an executor of at most [threads] daemon threads, which end when they are idle. */
+    fun daemon(
+        name: String,
+        threads: Int = 1,
+    ): Executor {
+        val pool =
+            ThreadPoolExecutor(threads, threads, KEEP_ALIVE_S, TimeUnit.SECONDS, LinkedBlockingQueue()) { task ->
+                Thread(task, name).apply { isDaemon = true }
+            }
+        pool.allowCoreThreadTimeOut(true)
+        return Owned(pool)
+    }
 
     /** Executor that is closed with the agent that created it. */
-    class Daemon(
-        private val service: ExecutorService,
-    ) : Executor by service,
+    class Owned(
+        private val pool: ThreadPoolExecutor,
+    ) : Executor by pool,
         AutoCloseable {
         override fun close() {
-            service.shutdown()
+            pool.shutdown()
         }
     }
 }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/Dissemination.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/Dissemination.kt
@@ -1,7 +1,11 @@
 package dev.lycheehill.fleet.dissemination
 
+import arrow.core.getOrElse
 import dev.lycheehill.config.fold.FoldState
 import dev.lycheehill.config.log.LogEntry
+import dev.lycheehill.config.snapshot.Snapshot
+import dev.lycheehill.config.snapshot.SnapshotError
+import dev.lycheehill.config.snapshot.SnapshotRestore
 import dev.lycheehill.fleet.Outbox
 import dev.lycheehill.fleet.link.PeerAddress
 import dev.lycheehill.fleet.membership.Membership
@@ -20,11 +24,11 @@
     private val settings: DisseminationSettings,
     random: Random,
     private val outbox: Outbox,
-    codec: SnapshotCodec,
     private val counters: DisseminationCounters,
+    private val homes: HomeEpochStore,
     private val onAdvance: (FoldState) -> Unit,
 ) {
-    private val transfer = SnapshotTransfer(codec, outbox)
+    private val transfer = SnapshotTransfer(::snapshot, outbox)
     private val admission = Admission(settings.maxTransfers)
     private val backoff = Backoff(random, settings.backoffBaseMs, settings.backoffCapMs)
     private val ahead = LinkedHashMap<PeerAddress, Long>()
@@ -57,11 +61,16 @@
         return AppendResult.DIFFERENT !in results
     }
 
-    /** Takes a snapshot from the log. */
+    /** Takes a snapshot from the log if it is newer than the node's state. */
     fun onLogSnapshot(
-        snapshot: FoldState,
+        snapshot: Snapshot,
         nowMs: Long,
-    ) = apply(snapshot, nowMs)
+    ) {
+        apply(snapshot, nowMs)
+    }
+
+    /** The snapshot of this node's state. */
+    fun snapshot(): Snapshot = homes.current().let { Snapshot(store.state, it.bytes, it.nextOffset) }
 
     /** The current announcement of this node. */
     fun announcement(): PeerMessage.Announce = store.state.let { PeerMessage.Announce(it.nextOffset, chainPrefix(it.chainHash)) }
@@ -158,10 +167,16 @@
     }
 
     private fun apply(
-        snapshot: FoldState,
+        snapshot: Snapshot,
         nowMs: Long,
     ): Boolean {
-        if (!store.replace(snapshot)) return false
+        homes.restore(HomeEpochs(snapshot.homeEpochs, snapshot.homesNextOffset))
+        val next =
+            SnapshotRestore.apply(store.state, snapshot).getOrElse {
+                if (it == SnapshotError.DIVERGED) counters.divergences.incrementAndGet()
+                return false
+            }
+        if (!store.replace(next)) return false
         counters.snapshotsApplied.incrementAndGet()
         backoff.reset()
         advanced(nowMs)
@@ -218,7 +233,7 @@
         nextOffset: Long,
         part: Int,
     ) {
-        if (transfer.serve(peer, store.state, nextOffset, part)) admission.release(peer)
+        if (transfer.serve(peer, nextOffset, part)) admission.release(peer)
     }
 
     private fun bounded(records: List<WireRecord>): List<WireRecord> {
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/DisseminationSettings.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/DisseminationSettings.kt
@@ -11,8 +11,6 @@
     val maxRecordBytes: Int = 524_288,
     val maxTransfers: Int = 4,
     val readersPerZone: Int = 3,
-    val longPollMs: Long = 10_000,
+    val longPollMs: Long = 4_000,
     val verifyPeriodMs: Long = 5_000,
-    val snapshotRecords: Int = 256,
-    val snapshotPeriodMs: Long = 3_600_000,
 )
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/LogReader.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/LogReader.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import dev.lycheehill.config.log.LogEntry
+import dev.lycheehill.config.log.Streams
 import dev.lycheehill.platformlog.LogError
 import dev.lycheehill.platformlog.LogPage
 import dev.lycheehill.platformlog.PlatformLog
@@ -36,6 +37,10 @@
     var divergence: String? = null
         private set
 
+    /** When the end of the stream was last seen. */
+    var followedAtMs: Long = Long.MIN_VALUE / 2
+        private set
+
     /** Starts a read if one is due. */
     fun poll() {
         val now = nowMs()
@@ -46,7 +51,7 @@
         val waitMs = if (verify) 0 else settings.longPollMs
         inFlight = true
         worker.execute {
-            val result = log.read(STREAM, from, settings.maxDifference + 1, waitMs)
+            val result = log.read(Streams.CONFIG, from, settings.maxDifference + 1, waitMs)
             control.execute { onResult(result, from, next, verify) }
         }
     }
@@ -86,6 +91,8 @@
 
     private fun follow(page: LogPage) {
         divergence = null
+        val end = page.entries.lastOrNull()?.let { it.offset + 1 } ?: page.nextOffset
+        if (end >= page.nextOffset) followedAtMs = nowMs()
         if (!onEntries(page.entries)) diverge("a record differs from the one held")
     }
 
@@ -100,10 +107,7 @@
         divergence = reason
     }
 
-    companion object {
-        /** Stream of the configuration records. */
-        const val STREAM = "config"
-
-        private const val TOO_OLD_RETRY_MS = 1_000L
+    private companion object {
+        const val TOO_OLD_RETRY_MS = 1_000L
     }
 }
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/FleetSim.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/FleetSim.kt
@@ -45,6 +45,7 @@
         nodeId: String,
         zone: String = nodeId.substringBefore('-'),
         agentLog: PlatformLog = log,
+        joinFleet: Boolean = true,
     ): FleetAgent {
         val address = address(nodeId)
         val identity = MemberRecord(nodeId, 0, MemberState.COLD, zone, "r", "shop", address.text, "data-$nodeId:1", 4)
@@ -54,8 +55,7 @@
                 link = network.link(address),
                 log = CuttableLog(agentLog).also { logs[nodeId] = it },
                 timers = timers,
-                codec = StubSnapshotCodec,
-                seeds = zones.map { address("$it-0") },
+                seeds = if (joinFleet) zones.map { address("$it-0") } else emptyList(),
                 settings = settings,
                 seed = seeds.nextLong(),
                 control = { it.run() },
--- /dev/null
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/ack/CarriesRecords.kt
@@ -0,0 +1,6 @@
+package dev.lycheehill.fleet.ack
+
+import dev.lycheehill.fleet.message.PeerMessage
+
+/** Whether this message transfers configuration. */
+val PeerMessage.carriesRecords: Boolean get() = this is PeerMessage.Records || this is PeerMessage.SnapshotPart
--- /dev/null
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/ack/InForceTest.kt
@@ -0,0 +1,78 @@
+package dev.lycheehill.fleet.ack
+
+import dev.lycheehill.fleet.FleetSim
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+
+class InForceTest {
+    @ParameterizedTest
+    @CsvSource("1, 1, 31", "2, 5, 32", "3, 20, 33")
+    fun `every node counts all nodes once the version is in force, and none before`(
+        zones: Int,
+        perZone: Int,
+        seed: Long,
+    ) {
+        val sim = FleetSim(seed, zones = listOf("a", "b", "c").take(zones))
+        sim.startAll(perZone)
+        sim.awaitMembers(zones * perZone, limitMs = 30_000)
+        val version = sim.publish()
+        val asked = sim.agents.values.first()
+        sim.await("in force on all", limitMs = 13_000) {
+            val report = asked.inForce(version)
+            val serving = sim.agents.values.count { it.foldState().version >= version }
+            expectThat(report.nodesInForce).isLessThanOrEqualTo(serving)
+            expectThat(report.nodes).isEqualTo(zones * perZone)
+            report.nodesInForce == report.nodes && report.laggingZones.isEmpty()
+        }
+        expectThat(asked.inForce(version + 1).nodesInForce).isEqualTo(0)
+    }
+
+    @Test
+    fun `a zone that is cut off lags in the report, also when its members are gone, and counts again after the cut`() {
+        val sim = FleetSim(seed = 34)
+        sim.startAll(perZone = 4)
+        sim.awaitMembers(12, limitMs = 10_000)
+        val cut = sim.agents.filterKeys { it.startsWith("c-") }.values
+        val asked = sim.agents.getValue("a-1")
+        sim.network.partition(sim.addresses("c"))
+        sim.cutLog(cut)
+        val version = sim.publish()
+        repeat(180) {
+            sim.advance(5_000)
+            expectThat(asked.inForce(version).laggingZones).contains("c")
+        }
+        expectThat(asked.inForce(version).laggingZones).isEqualTo(setOf("c"))
+        sim.network.heal()
+        sim.restoreLog(cut)
+        sim.await("in force on all", limitMs = 60_000) {
+            val report = asked.inForce(version)
+            report.nodes == 12 && report.nodesInForce == 12 && report.laggingZones.isEmpty()
+        }
+    }
+
+    @Test
+    fun `a node that cannot get the version is named`() {
+        val sim = FleetSim(seed = 35, zones = listOf("a"))
+        sim.startAll(perZone = 5)
+        sim.awaitMembers(5, limitMs = 10_000)
+        val slow = FleetSim.address("a-3")
+        sim.network.tamper = { _, to, message -> message.takeUnless { to == slow && message.carriesRecords } }
+        sim.cutLog(listOf(sim.agents.getValue("a-3")))
+        val version = sim.publish()
+        sim.advance(5_000)
+        val report =
+            sim.agents.getValue("a-0").let {
+                it.inForce(version)
+                sim.advance(2_000)
+                it.inForce(version)
+            }
+        expectThat(report.nodesInForce).isEqualTo(4)
+        expectThat(report.laggingNodes).isEqualTo(setOf("a-3"))
+        expectThat(report.laggingZones).isEqualTo(setOf("a"))
+    }
+}
--- /dev/null
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/link/SocketLinkTest.kt
@@ -0,0 +1,133 @@
+package dev.lycheehill.fleet.link
+
+import dev.lycheehill.fleet.message.MessageCodec
+import dev.lycheehill.fleet.message.PeerMessage
+import dev.lycheehill.fleet.message.WireRecord
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import java.io.DataOutputStream
+import java.net.Socket
+import java.nio.file.Path
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+
+class SocketLinkTest {
+    enum class Transport { KTOR, TLS }
+
+    private val links = ArrayList<Link>()
+
+    @AfterEach
+    fun close() = links.forEach { it.close() }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `a message and its answer arrive over one connection`(transport: Transport) {
+        val (a, atA) = open(transport)
+        val (b, atB) = open(transport)
+        expectThat(a.send(b.address, PeerMessage.Ping(1))).isTrue()
+        expectThat(atB.next()).isEqualTo(a.address to PeerMessage.Ping(1))
+        b.send(a.address, PeerMessage.Ack(1))
+        expectThat(atA.next()).isEqualTo(b.address to PeerMessage.Ack(1))
+        expectThat(a.counters.connectionsOpened.get() + b.counters.connectionsOpened.get()).isEqualTo(1)
+        expectThat(b.counters.bytesReceived.get()).isEqualTo(a.counters.bytesSent.get())
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `a message longer than a frame is not sent and the link goes on`(transport: Transport) {
+        val (a, _) = open(transport)
+        val (b, atB) = open(transport)
+        val long = PeerMessage.Records(listOf(WireRecord(0, ByteArray(1_048_576), "")))
+        expectThat(a.send(b.address, long)).isFalse()
+        a.send(b.address, PeerMessage.Ping(2))
+        expectThat(atB.next()?.second).isEqualTo(PeerMessage.Ping(2))
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `a message after a reset or a restart of the peer arrives over a new connection`(transport: Transport) {
+        val (a, _) = open(transport)
+        val (b, atB) = open(transport)
+        a.send(b.address, PeerMessage.Ping(1))
+        expectThat(atB.next()).isNotNull()
+        a.reset(b.address)
+        a.send(b.address, PeerMessage.Ping(2))
+        expectThat(atB.next()?.second).isEqualTo(PeerMessage.Ping(2))
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `messages to a peer that is not there are dropped and counted`(transport: Transport) {
+        val (a, _) = open(transport)
+        val (b, _) = open(transport)
+        b.close()
+        TimeUnit.MILLISECONDS.sleep(200)
+        a.send(b.address, PeerMessage.Ping(1))
+        repeat(100) { if (a.counters.messagesDropped.get() == 0L) TimeUnit.MILLISECONDS.sleep(20) }
+        expectThat(a.counters.messagesDropped.get() > 0).isTrue()
+    }
+
+    @Test
+    fun `broken frames end their connection only`() {
+        val (a, atA) = open(Transport.KTOR)
+        val hello = MessageCodec.encode(PeerMessage.Hello("127.0.0.1:9"))
+        val broken = listOf(Int.MAX_VALUE to ByteArray(0), -1 to ByteArray(0), 0 to ByteArray(0), 3 to byteArrayOf(1, 2, 3))
+        broken.forEach { (size, bytes) ->
+            Socket(a.address.host, a.address.port).use { socket ->
+                val output = DataOutputStream(socket.getOutputStream())
+                output.writeInt(hello.size)
+                output.write(hello)
+                output.writeInt(size)
+                output.write(bytes)
+                output.flush()
+                expectThat(socket.getInputStream().read()).isEqualTo(-1)
+            }
+        }
+        expectThat(a.counters.framesRefused.get()).isEqualTo(broken.size.toLong())
+        val (b, _) = open(Transport.KTOR)
+        b.send(a.address, PeerMessage.Ping(3))
+        expectThat(atA.next()?.second).isEqualTo(PeerMessage.Ping(3))
+    }
+
+    @Test
+    fun `a peer without a certificate of the fleet is refused in both directions`() {
+        val (fleet, atFleet) = open(Transport.TLS)
+        val (stranger, atStranger) = receive(TlsLink("127.0.0.1", tls = tls("stranger", authority = "fleet-ca")))
+        val (trusting, atTrusting) = receive(TlsLink("127.0.0.1", tls = tls("stranger", authority = "other-ca")))
+        val (plain, _) = open(Transport.KTOR)
+        listOf(stranger, trusting, plain).forEach { it.send(fleet.address, PeerMessage.Ping(1)) }
+        fleet.send(stranger.address, PeerMessage.Ping(2))
+        fleet.send(trusting.address, PeerMessage.Ping(3))
+        expectThat(atFleet.next(waitMs = 1_000)).isNull()
+        expectThat(atStranger.next(waitMs = 10)).isNull()
+        expectThat(atTrusting.next(waitMs = 10)).isNull()
+        expectThat(fleet.counters.peersRefused.get() >= 3).isTrue()
+    }
+
+    private fun open(transport: Transport) =
+        receive(if (transport == Transport.KTOR) KtorLink.bind("127.0.0.1") else TlsLink("127.0.0.1", tls = tls("node", "fleet-ca")))
+
+    private fun receive(link: Link): Pair<Link, LinkedBlockingQueue<Pair<PeerAddress, PeerMessage>>> {
+        val received = LinkedBlockingQueue<Pair<PeerAddress, PeerMessage>>()
+        links += link
+        link.start { from, message -> received += from to message }
+        return link to received
+    }
+
+    private fun tls(
+        name: String,
+        authority: String,
+    ) = TlsSettings(resource("$name.pem"), resource("$name-key.pem"), resource("$authority.pem"))
+
+    private fun resource(name: String): Path = Path.of(checkNotNull(javaClass.getResource("/tls/$name")).toURI())
+
+    private fun LinkedBlockingQueue<Pair<PeerAddress, PeerMessage>>.next(waitMs: Long = 3_000) = poll(waitMs, TimeUnit.MILLISECONDS)
+}
