Compare member records by hash in anti-entropy and add the convergence measurement

Cause: a differing bucket holds 594 records of 100 B at 38,000 members, so sending whole buckets exceeds the byte budget; and records of a first table were gossiped again by the node that joined. Change: differing buckets are compared by 8 bytes a record, and only differing records travel; a joining node does not pass its first table on. The measurement harness and convergence are added to module measure. The measurement has not run yet.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetCore.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetCore.kt
@@ -85,10 +85,8 @@
             is PeerMessage.Join -> onJoin(from, message, nowMs)
             is PeerMessage.Digest -> onDigest(from, message, nowMs)
             is PeerMessage.BucketHashes -> antiEntropy.onBucketHashes(from, message, nowMs)
+            is PeerMessage.BucketIndex -> antiEntropy.onBucketIndex(from, message, nowMs)
             is PeerMessage.MemberSync -> onSync(from, message, nowMs)
-            is PeerMessage.ZoneAck -> ackTree.onAck(message, nowMs)
-            is PeerMessage.StatusRequest -> ackTree.onStatusRequest(from, nowMs)
-            is PeerMessage.ZoneStatus -> ackTree.onStatus(message, nowMs)
             else -> onOtherMessage(from, message, nowMs)
         }
     }
@@ -105,6 +103,9 @@
             is PeerMessage.SnapshotRequest -> dissemination.onSnapshotRequest(from, message, nowMs)
             is PeerMessage.SnapshotPart -> dissemination.onSnapshotPart(from, message, nowMs)
             is PeerMessage.Busy -> dissemination.onBusy(from, message, nowMs)
+            is PeerMessage.ZoneAck -> ackTree.onAck(message, nowMs)
+            is PeerMessage.StatusRequest -> ackTree.onStatusRequest(from, nowMs)
+            is PeerMessage.ZoneStatus -> ackTree.onStatus(message, nowMs)
             is PeerMessage.Request -> events.onRequest(from, message)
             is PeerMessage.Response -> events.onResponse(message)
             else -> Unit
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/AntiEntropy.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/AntiEntropy.kt
@@ -10,7 +10,8 @@
 /**
  * Repairs differences between two membership tables, and gives a starting node its first table.
  *
- * The tables are compared by one hash, then by the hash of each bucket; then the records of differing buckets are exchanged.
+ * The tables are compared by one hash, then by the hash of each bucket, then by the hash of each record in differing
+ * buckets; only differing records are exchanged.
  */
 internal class AntiEntropy(
     private val membership: Membership,
@@ -58,7 +59,27 @@
         val differing = own.indices.filter { own[it] != message.hashes.getOrNull(it) }.shuffled(random)
         if (differing.isEmpty()) return
         syncedAtMs = nowMs
-        sendBuckets(from, differing, answer = true)
+        // Each side repairs at most some buckets at a time; the next digests find the others.
+        val perBucket = 1 + membership.table.live.size / MemberTable.BUCKETS
+        val buckets = differing.take(maxOf(1, MAX_INDEX_ENTRIES / perBucket))
+        outbox.send(from, PeerMessage.BucketIndex(buckets, MemberIndex.encode(membership.table.liveIn(buckets.toSet()))))
+    }
+
+    fun onBucketIndex(
+        from: PeerAddress,
+        message: PeerMessage.BucketIndex,
+        nowMs: Long,
+    ) {
+        syncedAtMs = nowMs
+        val buckets = message.buckets.toSet()
+        val theirs = MemberIndex.decode(message.index)
+        val live = membership.table.liveIn(buckets)
+        val own = live.associate { MemberTable.idHash(it.nodeId) to MemberTable.recordHash(it) }
+        val lacking = live.filter { theirs[MemberTable.idHash(it.nodeId)] != MemberTable.recordHash(it) }
+        val gone = membership.table.goneIn(buckets).filter { MemberTable.idHash(it.nodeId) in theirs }
+        val wanted = theirs.filter { (id, record) -> own[id] != record }.keys.toList()
+        if (lacking.isEmpty() && gone.isEmpty() && wanted.isEmpty()) return
+        send(from, PeerMessage.MemberSync((lacking + gone).map { it.toWire() }, wanted))
     }
 
     fun onSync(
@@ -66,8 +87,12 @@
         message: PeerMessage.MemberSync,
         nowMs: Long,
     ) {
-        message.members.forEach { membership.learnFromSync(it, nowMs) }
-        if (message.answer) sendBuckets(from, message.buckets.filter { it in 0 until MemberTable.BUCKETS }, answer = false)
+        message.members.forEach { membership.learnFromSync(it, nowMs, passOn = !message.joining) }
+        if (message.wanted.isEmpty()) return
+        val wanted = message.wanted.toSet()
+        val buckets = wanted.map(MemberTable::bucketOf).toSet()
+        val records = membership.table.liveIn(buckets) + membership.table.goneIn(buckets)
+        send(from, PeerMessage.MemberSync(records.filter { MemberTable.idHash(it.nodeId) in wanted }.map { it.toWire() }))
     }
 
     /** Answers a starting node with the whole table, in frames of bounded size. */
@@ -82,30 +107,18 @@
                 .map { it.toWire() },
             JOIN_FRAME_BYTES,
         ).forEach {
-            outbox.send(from, PeerMessage.MemberSync(emptyList(), it))
+            outbox.send(from, PeerMessage.MemberSync(it, joining = true))
         }
     }
 
     private fun mayCompare(nowMs: Long): Boolean = nowMs - changedAtMs >= QUIET_MS || nowMs - syncedAtMs >= MAX_WAIT_MS
 
-    private fun sendBuckets(
+    private fun send(
         to: PeerAddress,
-        buckets: List<Int>,
-        answer: Boolean,
+        message: PeerMessage.MemberSync,
     ) {
-        val byBucket = membership.table.recordsOf(buckets.toSet()).groupBy { MemberTable.bucketOf(it.nodeId) }
-        val chosen = ArrayList<Int>()
-        val members = ArrayList<WireMember>()
-        var bytes = 0
-        for (bucket in buckets) {
-            val records = byBucket[bucket].orEmpty().map { it.toWire() }
-            bytes += records.sumOf { it.sizeBytes }
-            if (bytes > SYNC_BYTES && chosen.isNotEmpty()) break
-            chosen += bucket
-            members += records
-        }
-        syncBytes += bytes
-        outbox.send(to, PeerMessage.MemberSync(chosen, members, answer))
+        syncBytes += message.members.sumOf { it.sizeBytes }
+        outbox.send(to, message)
     }
 
     private fun chunks(
@@ -128,7 +141,7 @@
     private companion object {
         const val QUIET_MS = 2_000L
         const val MAX_WAIT_MS = 10_000L
-        const val SYNC_BYTES = 65_536
+        const val MAX_INDEX_ENTRIES = 2_048
         const val JOIN_FRAME_BYTES = 262_144
     }
 }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/MemberTable.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/MemberTable.kt
@@ -11,7 +11,7 @@
  * are kept apart for [goneRetentionMs], so that a late record of the same incarnation cannot bring the member back.
  * One thread writes; [live] may be read by any thread.
  */
-internal class MemberTable(
+class MemberTable(
     private val goneRetentionMs: Long = 600_000,
     private val lostZoneRetentionMs: Long = 86_400_000,
 ) {
@@ -92,10 +92,12 @@
     /** Hash of each bucket. */
     fun bucketHashes(): IntArray = buckets.copyOf()
 
-    /** Records of [bucketIndexes], including retained records of gone members. */
-    fun recordsOf(bucketIndexes: Set<Int>): List<MemberRecord> =
-        live.values.filter { bucketOf(it.nodeId) in bucketIndexes } +
-            gone.values.map { it.record }.filter { bucketOf(it.nodeId) in bucketIndexes }
+    /** Records of [live] in [bucketIndexes]. */
+    fun liveIn(bucketIndexes: Set<Int>): List<MemberRecord> = live.values.filter { bucketOf(idHash(it.nodeId)) in bucketIndexes }
+
+    /** Retained records of gone members in [bucketIndexes]. */
+    fun goneIn(bucketIndexes: Set<Int>): List<MemberRecord> =
+        gone.values.map { it.record }.filter { bucketOf(idHash(it.nodeId)) in bucketIndexes }
 
     private fun insert(record: MemberRecord) {
         val shared =
@@ -130,7 +132,7 @@
     }
 
     private fun toggleHash(record: MemberRecord) {
-        val bucket = bucketOf(record.nodeId)
+        val bucket = bucketOf(idHash(record.nodeId))
         buckets[bucket] = buckets[bucket] xor recordHash(record)
     }
 
@@ -151,12 +153,12 @@
 
         fun add(id: String) {
             ids.add(id)
-            hash = hash xor mix(id.hashCode())
+            hash = hash xor idHash(id)
         }
 
         fun remove(id: String) {
             ids.remove(id)
-            hash = hash xor mix(id.hashCode())
+            hash = hash xor idHash(id)
         }
     }
 
@@ -173,11 +175,14 @@
             held: MemberRecord,
         ): Boolean = record.incarnation > held.incarnation || (record.incarnation == held.incarnation && record.state > held.state)
 
-        /** Bucket of a node id. */
-        fun bucketOf(nodeId: String): Int = mix(nodeId.hashCode()) and (BUCKETS - 1)
+        /** Hash of a node id. Its lowest bits are the bucket. */
+        fun idHash(nodeId: String): Int = mix(nodeId.hashCode())
+
+        /** Bucket of the node id with [idHash]. */
+        fun bucketOf(idHash: Int): Int = idHash and (BUCKETS - 1)
 
-        private fun recordHash(record: MemberRecord): Int =
-            mix(mix(record.nodeId.hashCode()) + record.incarnation.hashCode() * 31 + record.state.ordinal)
+        /** Hash over what the merge rule compares. */
+        fun recordHash(record: MemberRecord): Int = mix(idHash(record.nodeId) + record.incarnation.hashCode() * 31 + record.state.ordinal)
 
         // Finalizer of MurmurHash3: spreads String.hashCode, which differs little between similar ids.
         private fun mix(value: Int): Int {
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/Membership.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/Membership.kt
@@ -79,29 +79,31 @@
         if (record.nodeId == self.nodeId) refute(record, nowMs) else accept(record, nowMs)
     }
 
-    /** Merges a record from anti-entropy. Verdicts that are older than gossip are only suspicions here. */
+    /** Merges a record from anti-entropy and passes news on if [passOn] is set. Verdicts that are older than gossip are only suspicions here. */
     fun learnFromSync(
         member: WireMember,
         nowMs: Long,
+        passOn: Boolean = true,
     ) {
         val record = member.toRecord() ?: return
         if (record.nodeId == self.nodeId) return refute(record, nowMs)
         val held = table.live[record.nodeId]
         when {
-            record.state != MemberState.GONE -> acceptOrConfront(record, nowMs)
+            record.state != MemberState.GONE -> acceptOrConfront(record, nowMs, passOn)
             held == null -> return
             held.incarnation == record.incarnation -> accept(record.copy(state = MemberState.SUSPECT), nowMs)
             else -> accept(record, nowMs)
         }
     }
 
-    /** Merges [record] of another member and passes it on if it is news. */
+    /** Merges [record] of another member; passes it on if it is news and [passOn] is set. */
     fun accept(
         record: MemberRecord,
         nowMs: Long,
+        passOn: Boolean = true,
     ): Boolean {
         if (!table.merge(record, nowMs)) return false
-        rumours.add(record.nodeId, record.toWire())
+        if (passOn) rumours.add(record.nodeId, record.toWire())
         onChange(record)
         return true
     }
@@ -192,10 +194,11 @@
     private fun acceptOrConfront(
         record: MemberRecord,
         nowMs: Long,
+        passOn: Boolean,
     ) {
         val gone = table.goneRecord(record.nodeId)
         if (gone == null || MemberTable.supersedes(record, gone)) {
-            accept(record, nowMs)
+            accept(record, nowMs, passOn)
             return
         }
         val notice = gone.toWire()
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/message/PeerMessage.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/message/PeerMessage.kt
@@ -69,13 +69,26 @@
         @SerialName("b") val hashes: IntArray,
     ) : PeerMessage
 
-    /** All records of some buckets. With [answer] set, the receiver returns its records of the same buckets. */
+    /** Hash of the node id and hash of the record, 32 bits each, for all records of some buckets. */
+    @Serializable
+    @SerialName("bi")
+    class BucketIndex(
+        @SerialName("b") val buckets: List<Int>,
+        @SerialName("x") val index: ByteArray,
+    ) : PeerMessage
+
+    /**
+     * Member records that the receiver may lack.
+     *
+     * @property wanted hashes of the node ids whose records the sender asks for.
+     * @property joining whether this is a part of the whole table for a starting node.
+     */
     @Serializable
     @SerialName("ms")
     data class MemberSync(
-        @SerialName("b") val buckets: List<Int>,
         @SerialName("m") val members: List<WireMember>,
-        @SerialName("a") val answer: Boolean = false,
+        @SerialName("w") val wanted: List<Int> = emptyList(),
+        @SerialName("j") val joining: Boolean = false,
     ) : PeerMessage
 
     /** The sender holds the records below [nextOffset]; [chain] is the start of their chain hash. */
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/fleet/AgentFleet.kt
@@ -0,0 +1,97 @@
+package dev.lycheehill.measure.fleet
+
+import dev.lycheehill.core.time.SystemTimerService
+import dev.lycheehill.fleet.FleetAgent
+import dev.lycheehill.fleet.link.KtorLink
+import dev.lycheehill.fleet.link.LinkSettings
+import dev.lycheehill.fleet.link.PeerAddress
+import dev.lycheehill.fleet.membership.MemberRecord
+import dev.lycheehill.fleet.membership.MemberState
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.Dispatchers
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
+
+/** [FleetAgent]s over loopback sockets in one process. */
+class AgentFleet(
+    override val size: Int,
+    private val deployment: FleetDeployment,
+    private val log: BlockingLog,
+    private val random: Random,
+) : MeasuredFleet {
+    private val timers = SystemTimerService("measure-timer")
+    private val dispatcher = Dispatchers.IO.limitedParallelism(IO_THREADS)
+    private val selectors = List(SELECTORS) { SelectorManager(dispatcher) }
+    private val listeners = CopyOnWriteArrayList<(Int, Long) -> Unit>()
+    private val agents = arrayOfNulls<FleetAgent>(size)
+    private val seeds = ArrayList<PeerAddress>()
+    private var bytesOfStopped = 0L
+
+    /** Running agents. */
+    val running: List<FleetAgent> get() = agents.filterNotNull()
+
+    override fun onVersion(listener: (Int, Long) -> Unit) {
+        listeners += listener
+    }
+
+    override fun controlBytes(): Long =
+        bytesOfStopped + log.readBytes.get() + running.sumOf { it.traffic.bytesSent.get() + it.traffic.bytesReceived.get() }
+
+    override fun lowestVersion(): Long = running.minOf { it.foldState().version }
+
+    override fun start() {
+        (0 until size).forEach(::startNode)
+        Wait.until("$size members on all nodes", START_LIMIT_MS) { running.all { it.members().size == size } }
+    }
+
+    /** Indexes of the nodes of a zone. */
+    fun indexesOf(zone: String): List<Int> = (0 until size).filter { zoneOf(it) == zone }
+
+    /** Starts the node with [index] with an empty state. */
+    fun startNode(index: Int) {
+        val link = KtorLink.bind("127.0.0.1", 0, LINK_SETTINGS, selectors[index % SELECTORS], dispatcher)
+        if (seeds.size < deployment.zones.size) seeds += link.address
+        val record =
+            MemberRecord(
+                nodeId = "node-%05d".format(index),
+                incarnation = 0,
+                state = MemberState.READY,
+                zone = zoneOf(index),
+                region = deployment.region,
+                service = "service-${index % SERVICES}",
+                controlAddress = link.address.text,
+                dataAddress = link.address.text,
+                slots = 10,
+            )
+        val agent = FleetAgent(record, link, log, timers, seeds = seeds.toList(), seed = random.nextLong())
+        agent.onConfigChange { state -> listeners.forEach { it(index, state.version) } }
+        agents[index] = agent
+        agent.start()
+    }
+
+    /** Stops the node with [index] as a crash does. */
+    fun crash(index: Int) {
+        val agent = agents[index] ?: return
+        bytesOfStopped += agent.traffic.bytesSent.get() + agent.traffic.bytesReceived.get()
+        agents[index] = null
+        agent.stop()
+    }
+
+    override fun close() {
+        running.forEach { it.stop() }
+        selectors.forEach { it.close() }
+        timers.close()
+    }
+
+    private fun zoneOf(index: Int): String = deployment.zones[index % deployment.zones.size]
+
+    private companion object {
+        const val IO_THREADS = 16
+        const val SELECTORS = 4
+        const val SERVICES = 20
+        const val START_LIMIT_MS = 60_000L
+
+        // Both ends of each connection are in this process, whose file descriptors are limited.
+        val LINK_SETTINGS = LinkSettings(idleCloseMs = 5_000, maxConnections = 48)
+    }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/fleet/ConvergenceMeasure.kt
@@ -0,0 +1,102 @@
+package dev.lycheehill.measure.fleet
+
+import dev.lycheehill.measure.MeasureResult
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.math.ln
+import kotlin.random.Random
+
+/**
+ * Time from the append of a patch until it is in force on a node, over all nodes and patches.
+ *
+ * Growth is no worse than logarithmic when the p99 at the largest size is at most the p99 at the smallest size times the
+ * ratio of the logarithms of the sizes.
+ */
+class ConvergenceMeasure(
+    private val sizes: List<Int> = listOf(25, 50, 100, 200),
+    private val patches: Int = 60,
+    private val warmUpPatches: Int = 15,
+) : FleetMeasure {
+    override val name = "convergence"
+
+    override fun run(
+        seed: Long,
+        deployment: FleetDeployment,
+        print: (String) -> Unit,
+    ): MeasureResult {
+        print("$name seed=$seed deployment=${deployment.label} sizes=$sizes patches=$patches; loopback without zone latency")
+        val series = sizes.map { size -> size to compare(size, seed, deployment, print) }
+        val slope = Slope(series.map { (size, p99) -> ln(size.toDouble()) to p99.first })
+        val (smallest, largest) = series.first() to series.last()
+        val growth = largest.second.first / smallest.second.first
+        val allowed = ln(largest.first.toDouble()) / ln(smallest.first.toDouble())
+        print(
+            "$name slope: %.1f ms of p99 for each e-fold of the size; growth %.2f, logarithmic %.2f".format(slope.perUnit, growth, allowed),
+        )
+        val (ours, baseline) = largest.second
+        val met = ours <= TARGET_MS && growth <= allowed
+        val target = "p99 at ${largest.first} nodes within $TARGET_MS ms; growth no worse than logarithmic"
+        return MeasureResult("$name-p99-ms", seed, deployment.label, ours, baseline, ours / baseline, target, met)
+    }
+
+    private fun compare(
+        size: Int,
+        seed: Long,
+        deployment: FleetDeployment,
+        print: (String) -> Unit,
+    ): Pair<Double, Double> {
+        val ours = BlockingLog().let { log -> AgentFleet(size, deployment, log, Random(seed)).use { measure(it, log, seed) } }
+        val baseline = BlockingLog().let { log -> PollingFleet(size, log, Random(seed)).use { measure(it, log, seed) } }
+        val line = "$name nodes=%d ours p50=%.1f p99=%.1f max=%.1f ms; baseline p50=%.1f p99=%.1f max=%.1f ms; samples=%d"
+        print(
+            line.format(
+                size,
+                ours.percentile(MEDIAN),
+                ours.percentile(HIGH),
+                ours.max,
+                baseline.percentile(MEDIAN),
+                baseline.percentile(HIGH),
+                baseline.max,
+                ours.size,
+            ),
+        )
+        return ours.percentile(HIGH) to baseline.percentile(HIGH)
+    }
+
+    private fun measure(
+        fleet: MeasuredFleet,
+        log: BlockingLog,
+        seed: Long,
+    ): Samples {
+        val random = Random(seed)
+        val source = PatchSource(log)
+        val publishedAt = ConcurrentHashMap<Long, Long>()
+        val seen = LongArray(fleet.size)
+        val latencies = ConcurrentLinkedQueue<Double>()
+        fleet.onVersion { node, version ->
+            val now = System.nanoTime()
+            for (each in maxOf(seen[node], warmUpPatches.toLong()) + 1..version) {
+                latencies += (now - publishedAt.getValue(each)) / NANOS_PER_MILLI
+            }
+            seen[node] = version
+        }
+        fleet.start()
+        repeat(patches) {
+            publishedAt[source.state.version + 1] = System.nanoTime()
+            source.publish()
+            Thread.sleep(random.nextLong(MIN_GAP_MS, MAX_GAP_MS))
+        }
+        Wait.until("version $patches on all nodes", LIMIT_MS) { fleet.lowestVersion() == patches.toLong() }
+        return Samples(latencies)
+    }
+
+    private companion object {
+        const val TARGET_MS = 1_000
+        const val MEDIAN = 50.0
+        const val HIGH = 99.0
+        const val MIN_GAP_MS = 150L
+        const val MAX_GAP_MS = 350L
+        const val LIMIT_MS = 30_000L
+        const val NANOS_PER_MILLI = 1e6
+    }
+}
