--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetCore.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetCore.kt
@@ -5,7 +5,6 @@
 import dev.lycheehill.fleet.dissemination.Dissemination
 import dev.lycheehill.fleet.dissemination.DisseminationCounters
 import dev.lycheehill.fleet.dissemination.FoldStore
-import dev.lycheehill.fleet.dissemination.SnapshotCodec
 import dev.lycheehill.fleet.link.PeerAddress
 import dev.lycheehill.fleet.membership.AntiEntropy
 import dev.lycheehill.fleet.membership.FailureDetector
@@ -29,7 +28,6 @@
     private val settings: FleetSettings,
     private val random: Random,
     private val store: FoldStore,
-    codec: SnapshotCodec,
     counters: DisseminationCounters,
     private val outbox: Outbox,
     private val nowMs: () -> Long,
@@ -37,7 +35,7 @@
     resetLink: (PeerAddress) -> Unit,
 ) {
     val membership = Membership(initial, settings.membership, random, outbox, ::onMemberChange)
-    val dissemination = Dissemination(store, membership, settings.dissemination, random, outbox, codec, counters, events::onConfig)
+    val dissemination = Dissemination(store, membership, settings.dissemination, random, outbox, counters, events::onConfig)
     val ackTree = AckTree(membership, { store.state.version }, outbox)
     private val detector = FailureDetector(membership, settings.membership, random, outbox, resetLink)
     private val antiEntropy = AntiEntropy(membership, random, outbox)
@@ -85,10 +83,8 @@
             is PeerMessage.Join -> onJoin(from, message, nowMs)
             is PeerMessage.Digest -> onDigest(from, message, nowMs)
             is PeerMessage.BucketHashes -> antiEntropy.onBucketHashes(from, message, nowMs)
+            is PeerMessage.BucketIndex -> antiEntropy.onBucketIndex(from, message, nowMs)
             is PeerMessage.MemberSync -> onSync(from, message, nowMs)
-            is PeerMessage.ZoneAck -> ackTree.onAck(message, nowMs)
-            is PeerMessage.StatusRequest -> ackTree.onStatusRequest(from, nowMs)
-            is PeerMessage.ZoneStatus -> ackTree.onStatus(message, nowMs)
             else -> onOtherMessage(from, message, nowMs)
         }
     }
@@ -105,6 +101,9 @@
             is PeerMessage.SnapshotRequest -> dissemination.onSnapshotRequest(from, message, nowMs)
             is PeerMessage.SnapshotPart -> dissemination.onSnapshotPart(from, message, nowMs)
             is PeerMessage.Busy -> dissemination.onBusy(from, message, nowMs)
+            is PeerMessage.ZoneAck -> ackTree.onAck(message, nowMs)
+            is PeerMessage.StatusRequest -> ackTree.onStatusRequest(from, nowMs)
+            is PeerMessage.ZoneStatus -> ackTree.onStatus(message, nowMs)
             is PeerMessage.Request -> events.onRequest(from, message)
             is PeerMessage.Response -> events.onResponse(message)
             else -> Unit
