Add the demo

Cause: a new user needs to see the whole mesh work and break in one command. Change: command demo with 13 instances in three zones, callers with reads and keyed orders, a route change, a race, a bad patch, a drain, a killed node, a replacement and a log outage; each step checks what it promises; JSON as the last line.

--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
@@ -12,6 +12,7 @@
     version = ["lycheehill 0.1.0"],
     description = ["Distributes configuration in a service mesh and carries the calls that it routes."],
     subcommands = [
+        DemoCommand::class,
         ShowCommand::class,
         HistoryCommand::class,
         ExplainCommand::class,
--- /dev/null
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
@@ -0,0 +1,115 @@
+package dev.lycheehill.cli.demo
+
+import java.io.PrintWriter
+import java.net.http.HttpClient
+import java.time.Duration
+
+/** A whole mesh in this process, with callers, changes and faults, that checks what the project promises. */
+class Demo(
+    private val deployment: Deployment,
+    private val seed: Long,
+    private val durationS: Int,
+    out: PrintWriter,
+) {
+    private val startNanos = System.nanoTime()
+    private val narrator = Narrator(out, startNanos)
+    private val tally = LoadTally()
+    private val watch = VersionWatch()
+    private val journal = DemoJournal(narrator, watch)
+
+    /** Runs all steps. */
+    fun run(): DemoReport =
+        DemoLog().use { log ->
+            DemoMesh(deployment, log.client, seed, watch).use { mesh -> runOn(log, mesh) }
+        }
+
+    private fun runOn(
+        log: DemoLog,
+        mesh: DemoMesh,
+    ): DemoReport {
+        narrator.say(
+            "${deployment.name}: starting ${deployment.targets} instances in zones ${deployment.zones.joinToString()} (seed $seed)",
+        )
+        mesh.start()
+        journal.check("every node knows every target", mesh.awaitReady(READY_TIMEOUT_MS))
+        val script = DemoScript(deployment, mesh, log.publisher { mesh.live.first().agent }, log, tally, journal)
+        script.publishFirstVersion()
+        newLoad(mesh).use { load ->
+            load.start()
+            Thread.sleep(STEADY_MS)
+            journal.say("callers send reads and keyed orders: ${tally.count(RequestOutcome.SUCCEEDED)} requests succeeded so far")
+            script.changeRoute()
+            script.race()
+            script.publishBadPatch()
+            script.drainTarget()
+            script.killNode()
+            script.cutLog()
+            Thread.sleep(maxOf(0, durationS * 1_000L - elapsedMs()))
+            journal.check("every request has an end", load.stop(STOP_TIMEOUT_MS) && tally.inFlight == 0L)
+        }
+        checkRequests(mesh)
+        return report(mesh)
+    }
+
+    private fun newLoad(mesh: DemoMesh): DemoLoad {
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host")
+        val http =
+            HttpClient
+                .newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(Duration.ofSeconds(1))
+                .build()
+        val callers = mesh.live.map { own -> Caller(deployment.host, { mesh.egressAddresses(own) }, http) }
+        return DemoLoad(deployment, callers, tally, seed)
+    }
+
+    private fun checkRequests(mesh: DemoMesh) {
+        val runs = OrderRuns.of(mesh)
+        val ended = tally.endedOrders
+        val notRun = ended.filterValues { it == RequestOutcome.NOT_RUN }.keys
+        val succeeded = ended.filterValues { it == RequestOutcome.SUCCEEDED }.keys
+        journal.check("no order ran twice", runs.duplicated == 0L)
+        journal.check("an order that was reported as not run did not run", notRun.none { runs.started(it) > 0 })
+        journal.check("an order that was reported as run ran", succeeded.all { runs.started(it) > 0 })
+        journal.check("each caller got the whole response to its own request", tally.count(RequestOutcome.WRONG_RESPONSE) == 0L)
+        journal.check("no request failed", failed() == 0L)
+        journal.check("no node went back to an older version", watch.regressions == 0)
+        journal.say(
+            "sent ${tally.sent} requests: ${tally.count(RequestOutcome.SUCCEEDED)} succeeded, ${failed()} failed, " +
+                "${tally.count(RequestOutcome.MAY_HAVE_RUN)} may have run, ${runs.duplicated} ran twice",
+        )
+    }
+
+    private fun report(mesh: DemoMesh): DemoReport {
+        watch.close()
+        val times = journal.convergenceMs
+        return DemoReport(
+            ok = journal.failedChecks.isEmpty(),
+            deployment = deployment.name,
+            seed = seed,
+            durationMs = elapsedMs(),
+            nodes = mesh.live.size,
+            versionsAccepted = journal.versionsAccepted,
+            patchesRefused = journal.patchesRefused,
+            requestsSent = tally.sent,
+            requestsFailed = failed(),
+            requestsMayHaveRun = tally.count(RequestOutcome.MAY_HAVE_RUN),
+            requestsDuplicated = OrderRuns.of(mesh).duplicated,
+            versionRegressions = watch.regressions,
+            convergenceMsMax = times.lastOrNull() ?: -1,
+            convergenceMsP50 = times.getOrNull(times.size / 2) ?: -1,
+            failedChecks = journal.failedChecks,
+        )
+    }
+
+    private fun failed(): Long = FAILURES.sumOf { tally.count(it) }
+
+    private fun elapsedMs(): Long = (System.nanoTime() - startNanos) / 1_000_000
+
+    private companion object {
+        const val READY_TIMEOUT_MS = 10_000L
+        const val STEADY_MS = 1_500L
+        const val STOP_TIMEOUT_MS = 13_000L
+        val FAILURES = listOf(RequestOutcome.FAILED, RequestOutcome.NOT_RUN, RequestOutcome.WRONG_RESPONSE)
+    }
+}
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoLoad.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoLoad.kt
@@ -2,6 +2,7 @@
 
 import java.util.Random
 import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.SynchronousQueue
 import java.util.concurrent.ThreadPoolExecutor
@@ -50,7 +51,11 @@
         val request = nextRequest()
         val caller = callers[nextId.get() % callers.size]
         tally.begin()
-        senders.execute { tally.end(request, outcomeOf(caller, request)) }
+        try {
+            senders.execute { tally.end(request, outcomeOf(caller, request)) }
+        } catch (_: RejectedExecutionException) {
+            tally.end(request, RequestOutcome.FAILED)
+        }
     }
 
     private fun outcomeOf(
--- /dev/null
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoMesh.kt
@@ -0,0 +1,92 @@
+package dev.lycheehill.cli.demo
+
+import dev.lycheehill.core.time.SystemTimerService
+import dev.lycheehill.fleet.membership.MemberState
+import dev.lycheehill.platformlog.PlatformLog
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** All instances of a deployment in this process. */
+class DemoMesh(
+    private val deployment: Deployment,
+    private val log: PlatformLog,
+    private val seed: Long,
+    private val watch: VersionWatch,
+) : AutoCloseable {
+    private val timers = SystemTimerService()
+    private val all = CopyOnWriteArrayList<DemoInstance>()
+
+    /** Instances that have not been killed. */
+    val live: List<DemoInstance> get() = all.filter { it.alive }
+
+    /** All instances that ever ran. */
+    val instances: List<DemoInstance> get() = all
+
+    /** Starts one instance for each target, spread evenly over the zones. */
+    fun start() {
+        val names = deployment.services.flatMap { (service, count) -> (1..count).map { service to "$service-$it" } }
+        names.forEachIndexed { index, (service, nodeId) -> add(nodeId, deployment.zones[index % deployment.zones.size], service) }
+    }
+
+    /** Starts one more instance. */
+    fun add(
+        nodeId: String,
+        zone: String,
+        service: String,
+    ): DemoInstance {
+        val seeds = live.take(SEEDS).map { it.controlAddress }
+        val instance = DemoInstance(nodeId, zone, service, deployment, log, timers, seeds, seed + all.size)
+        instance.start()
+        all += instance
+        watch.add(nodeId) { instance.agent.foldState().version }
+        return instance
+    }
+
+    /** Ends [instance] at once. */
+    fun kill(instance: DemoInstance) {
+        watch.remove(instance.nodeId)
+        instance.kill()
+    }
+
+    /** Waits until every live node sees every live target as ready. */
+    fun awaitReady(timeoutMs: Long): Boolean =
+        await(timeoutMs) {
+            val ids = live.map { it.nodeId }.toSet()
+            live.all { instance ->
+                val ready =
+                    instance.agent
+                        .members()
+                        .values
+                        .filter { it.state == MemberState.READY }
+                ready.map { it.nodeId }.containsAll(ids)
+            }
+        }
+
+    /** Returns addresses for a caller beside [own]: its own node first, then the others of its zone, then the rest. */
+    fun egressAddresses(own: DemoInstance): List<String> {
+        val others = live.filter { it !== own }.sortedBy { it.zone != own.zone }
+        return (listOf(own) + others).map { it.egressAddress }
+    }
+
+    override fun close() {
+        live.parallelStream().forEach { it.kill() }
+        timers.close()
+    }
+
+    companion object {
+        private const val SEEDS = 3
+        private const val POLL_MS = 10L
+
+        /** Waits until [condition] holds; returns whether it did within [timeoutMs]. */
+        fun await(
+            timeoutMs: Long,
+            condition: () -> Boolean,
+        ): Boolean {
+            val endNanos = System.nanoTime() + timeoutMs * 1_000_000
+            while (!condition()) {
+                if (System.nanoTime() > endNanos) return false
+                Thread.sleep(POLL_MS)
+            }
+            return true
+        }
+    }
+}
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/LoadTally.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/LoadTally.kt
@@ -1,7 +1,6 @@
 package dev.lycheehill.cli.demo
 
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.LongAdder
 
 /** Counts requests by outcome and remembers what the callers were told about each order. Thread-safe. */
@@ -9,7 +8,6 @@
     private val outcomes = RequestOutcome.entries.associateWith { LongAdder() }
     private val orders = ConcurrentHashMap<String, RequestOutcome>()
     private val started = LongAdder()
-    private val lastFailure = AtomicLong()
 
     /** Requests that callers began to send. */
     val sent: Long get() = started.sum()
@@ -33,6 +31,5 @@
     ) {
         request.key?.let { orders[it] = outcome }
         outcomes.getValue(outcome).increment()
-        if (outcome != RequestOutcome.SUCCEEDED) lastFailure.set(System.nanoTime())
     }
 }
