--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetAgent.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetAgent.kt
@@ -8,7 +8,6 @@
 import dev.lycheehill.core.time.nowMs
 import dev.lycheehill.fleet.dissemination.DisseminationCounters
 import dev.lycheehill.fleet.dissemination.FoldStore
-import dev.lycheehill.fleet.dissemination.HomeEpochStore
 import dev.lycheehill.fleet.dissemination.LogReader
 import dev.lycheehill.fleet.dissemination.SnapshotStream
 import dev.lycheehill.fleet.link.Link
@@ -36,7 +35,6 @@
  * snapshots and may be called from any thread.
  *
  * @param identity the node's record; its incarnation is raised to the wall clock, so that a restart supersedes the last run.
- * @param homes home epochs, which travel with the snapshots.
  * @param seeds addresses of other nodes to join by; the node's own address among them is ignored.
  * @param seed seed of all random choices.
  */
@@ -50,7 +48,6 @@
     seed: Long = Random.nextLong(),
     private val control: Executor = FleetThreads.daemon("fleet-control-${identity.nodeId}"),
     private val worker: Executor = FleetThreads.daemon("fleet-log-${identity.nodeId}", threads = 2),
-    homes: HomeEpochStore = HomeEpochStore.Empty,
     initialState: FoldState = FoldState.initial(),
 ) : FleetView {
     /** Counters of dissemination. */
@@ -71,7 +68,6 @@
             random = random,
             store = store,
             counters = counters,
-            homes = homes,
             outbox = { peer, message -> link.send(peer, message) },
             nowMs = timers::nowMs,
             events = Events(),
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/Dissemination.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/Dissemination.kt
@@ -25,7 +25,6 @@
     random: Random,
     private val outbox: Outbox,
     private val counters: DisseminationCounters,
-    private val homes: HomeEpochStore,
     private val onAdvance: (FoldState) -> Unit,
 ) {
     private val transfer = SnapshotTransfer(::snapshot, outbox)
@@ -70,7 +69,7 @@
     }
 
     /** The snapshot of this node's state. */
-    fun snapshot(): Snapshot = homes.current().let { Snapshot(store.state, it.bytes, it.nextOffset) }
+    fun snapshot(): Snapshot = Snapshot(store.state)
 
     /** The current announcement of this node. */
     fun announcement(): PeerMessage.Announce = store.state.let { PeerMessage.Announce(it.nextOffset, chainPrefix(it.chainHash)) }
@@ -170,7 +169,6 @@
         snapshot: Snapshot,
         nowMs: Long,
     ): Boolean {
-        homes.restore(HomeEpochs(snapshot.homeEpochs, snapshot.homesNextOffset))
         val next =
             SnapshotRestore.apply(store.state, snapshot).getOrElse {
                 if (it == SnapshotError.DIVERGED) counters.divergences.incrementAndGet()
