--- a/measure/src/main/kotlin/dev/lycheehill/measure/fleet/AgentFleet.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/fleet/AgentFleet.kt
@@ -40,7 +40,7 @@
     override fun lowestVersion(): Long = running.minOf { it.foldState().version }
 
     override fun start() {
-        (0 until size).forEach(::startNode)
+        for (index in 0 until size) startNode(index)
         Wait.until("$size members on all nodes", START_LIMIT_MS) { running.all { it.members().size == size } }
     }
 
