--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
@@ -1,6 +1,8 @@
 package dev.lycheehill.cli.demo
 
 import java.io.PrintWriter
+import java.net.http.HttpClient
+import java.time.Duration
 
 /** A whole mesh in this process, with callers, changes and faults, that checks what the project promises. */
 class Demo(
