--- /dev/null
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyHistoryTest.kt
@@ -0,0 +1,85 @@
+package dev.lycheehill.calls.keys
+
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotNull
+
+class KeyHistoryTest {
+    /** Guards against a charge, booking or condemnation that runs twice under any mix of faults. */
+    @ParameterizedTest
+    @EnumSource(FaultMix::class)
+    internal fun `no keyed request runs twice under faults`(mix: FaultMix) {
+        var ran = 0
+        val twice = ArrayList<Long>()
+        var falseAnswers = 0
+        for (seed in mix.seeds) {
+            val history = KeyHistory(seed, mix.faults).play()
+            if (history.runs.values.any { it > 1 }) twice += seed
+            falseAnswers += history.falseAnswers
+            ran += history.runs.size
+        }
+        println("mix=$mix seeds=${mix.seeds} keys=${40 * mix.seeds.count()} ran=$ran twice=$twice falseAnswers=$falseAnswers")
+        expectThat(twice).isEmpty()
+        expectThat(falseAnswers).isEqualTo(0)
+        expectThat(ran).isGreaterThan(0)
+    }
+
+    /** Guards against safety by refusal: without faults each keyed request runs, also while homes change. */
+    @Test
+    fun `each keyed request runs once without faults`() {
+        val missing = ArrayList<Pair<Long, Set<String>>>()
+        for (seed in QUIET_SEEDS) {
+            val history = KeyHistory(seed, KeyFaults()).play()
+            val bad = history.keys.filter { history.runs[it] != 1 }
+            if (bad.isNotEmpty()) missing += seed to bad.toSet()
+        }
+        println("seeds=$QUIET_SEEDS histories=${QUIET_SEEDS.count()} with keys that did not run once=${missing.size}")
+        expectThat(missing).isEmpty()
+    }
+
+    /** Guards against a history check that cannot see the faults that the rules exclude. */
+    @ParameterizedTest
+    @EnumSource(WeakRule::class)
+    internal fun `the check finds a run twice when a rule is left out`(rule: WeakRule) {
+        val found =
+            SEEDS.firstOrNull { seed ->
+                KeyHistory(seed, rule.faults)
+                    .play()
+                    .runs.values
+                    .any { it > 1 }
+            }
+        println("rule=$rule first seed with a key that ran twice=$found")
+        expectThat(found).isNotNull()
+    }
+
+    internal enum class FaultMix(
+        val faults: KeyFaults,
+        val seeds: LongRange,
+    ) {
+        ALL(KeyFaults.ALL, 1L..2_000L),
+        LONG_PARTITIONS(KeyFaults.LONG_PARTITIONS, 2_001L..2_750L),
+        STORM(KeyFaults.STORM, 2_751L..3_500L),
+    }
+
+    internal enum class WeakRule(
+        val faults: KeyFaults,
+    ) {
+        NO_WAIT_FOR_THE_LEASE(KeyFaults.ALL.copy(settings = KeySettings(leaseMarginMs = -3_000, clockAllowanceMs = 0, keyAheadMs = 0))),
+        NO_LEASE(KeyFaults.ALL.copy(settings = KeySettings(leaseMs = 60_000, leaseMarginMs = -56_500))),
+        NO_BOUND(KeyFaults.ALL.copy(settings = KeySettings(clockAllowanceMs = -86_400_000))),
+        NO_HORIZON(KeyFaults.ALL.copy(settings = KeySettings(horizonMs = 1_000))),
+        KEYS_FROM_THE_FUTURE(KeyFaults.ALL.copy(settings = KeySettings(clockAllowanceMs = -60_000, keyAheadMs = 60_000))),
+        RESTART_KEEPS_BOOT_ID(KeyFaults.ALL.copy(sameBootAfterCrash = true)),
+        PROPOSAL_BEFORE_THE_SEAL(KeyFaults.LONG_PARTITIONS.copy(proposeUnsealed = true)),
+    }
+
+    private companion object {
+        val SEEDS = 1L..3_000L
+        val QUIET_SEEDS = 10_001L..10_500L
+    }
+}
--- /dev/null
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/keys/SimulatedMember.kt
@@ -0,0 +1,39 @@
+package dev.lycheehill.calls.keys
+
+import dev.lycheehill.core.time.NANOS_PER_MILLI
+
+/** One process of a simulated history with clocks of its own: up to 1% drift, and a wall clock up to 1 s off. */
+internal class SimulatedMember(
+    val id: String,
+    private val rate: Double,
+    private val wallSkewMs: Long,
+    private val settings: KeySettings,
+) {
+    var bootId = 1L
+        private set
+    var requests = KeyedRequests(id, bootId, WALL_MS, settings)
+        private set
+    var seenEpochs = 0
+    var isUp = true
+    var group = 0
+    var pausedUntilMs = 0L
+
+    fun nowNanos(realMs: Long): Long = (realMs * rate * NANOS_PER_MILLI).toLong()
+
+    fun wallMs(realMs: Long): Long = WALL_MS + realMs + wallSkewMs
+
+    /** Starts again without memory. */
+    fun restart(
+        realMs: Long,
+        sameBoot: Boolean,
+    ) {
+        if (!sameBoot) bootId++
+        requests = KeyedRequests(id, bootId, wallMs(realMs), settings)
+        seenEpochs = 0
+        isUp = true
+    }
+
+    companion object {
+        const val WALL_MS = 1_700_000_000_000L
+    }
+}
