--- /dev/null
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/hedging/NoHedging.kt
@@ -0,0 +1,20 @@
+package dev.lycheehill.calls.hedging
+
+/** Baseline: no second attempts. */
+object NoHedging : HedgePolicy {
+    override fun onCall(nowNanos: Long) = Unit
+
+    override fun delayNanos(
+        idempotent: Boolean,
+        nowNanos: Long,
+    ): Long? = null
+
+    override fun tryHedge(nowNanos: Long): Boolean = false
+
+    override fun onLatency(
+        latencyNanos: Long,
+        nowNanos: Long,
+    ) = Unit
+
+    override fun onShed(nowNanos: Long) = Unit
+}
--- a/calls/src/main/kotlin/dev/lycheehill/calls/verdict/BudgetedRetryPolicy.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/verdict/BudgetedRetryPolicy.kt
@@ -40,8 +40,9 @@
         attempt: FailedAttempt,
         reason: GiveUpReason,
     ): RetryDecision.Final {
-        val mayRepeat = attempt.verdict != Verdict.RAN && (attempt.verdict == Verdict.NOT_RUN || attempt.idempotent)
+        val verdict = attempt.callVerdict
+        val mayRepeat = verdict == Verdict.NOT_RUN || verdict == Verdict.MAY_HAVE_RUN && attempt.idempotent
         val hint = attempt.retryAfterMs ?: defaultRetryAfterMs
-        return RetryDecision.Final(attempt.verdict, reason, hint.takeIf { mayRepeat && attempt.repeatable })
+        return RetryDecision.Final(verdict, reason, hint.takeIf { mayRepeat && attempt.repeatable })
     }
 }
--- a/calls/src/test/kotlin/dev/lycheehill/calls/verdict/RetryPolicyTest.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/verdict/RetryPolicyTest.kt
@@ -45,6 +45,15 @@
         }
     }
 
+    /** Guards against `not run` for a call of which an earlier attempt may have run. */
+    @Test
+    fun `the final verdict covers all attempts`() {
+        val deadline = Deadline.after(1_000, 0)
+        val last = FailedAttempt(Verdict.NOT_RUN, true, 3, 3, deadline, RetryAllowance(), earlier = Verdict.MAY_HAVE_RUN)
+        val decision = BudgetedRetryPolicy().decide(last, 0) as RetryDecision.Final
+        expectThat(decision.verdict).isEqualTo(Verdict.MAY_HAVE_RUN)
+    }
+
     /** Guards against a retry storm: with all calls failing, retries stay within a tenth of the calls of 10 s. */
     @Test
     fun `the budget bounds the retries in each window`() {
