--- /dev/null
+++ b/config/src/main/kotlin/dev/lycheehill/config/log/ConfigRecord.kt
@@ -0,0 +1,4 @@
+package dev.lycheehill.config.log
+
+/** One record of stream `config` in the format of this release. */
+sealed interface ConfigRecord
