Announce and drain over the local API in the demo

Cause: a new user should see the interfaces that backend servers and operators use. Change: the demo's backend stand-ins announce themselves by PUT /v1/target and the drain goes by POST /v1/drain; a node serves /metrics and /v1/trace/{id}, and its gauges read the fleet agent and the target; control bytes and refused records are read from the link's counters.

--- a/cli/src/main/kotlin/dev/lycheehill/cli/client/NodeClient.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/client/NodeClient.kt
@@ -10,7 +10,6 @@
 import java.io.IOException
 import java.net.URI
 import java.net.URLEncoder
-import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.time.Duration
@@ -20,12 +19,7 @@
     val address: HostPort,
     private val timeout: Duration = Duration.ofSeconds(5),
 ) {
-    private val http =
-        HttpClient
-            .newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(timeout)
-            .build()
+    private val http = HttpClients.create(timeout)
 
     /** Reads [path]. */
     fun get(
@@ -42,16 +36,24 @@
     /** Sends an empty `POST` to [path]. */
     fun post(path: String): Either<ClientError, JsonNode> = send("POST", path, emptyMap())
 
+    /** Puts [body] to [path]. */
+    fun put(
+        path: String,
+        body: JsonNode,
+    ): Either<ClientError, JsonNode> = send("PUT", path, emptyMap(), body)
+
     private fun send(
         method: String,
         path: String,
         query: Map<String, String>,
+        body: JsonNode? = null,
     ): Either<ClientError, JsonNode> {
+        val publisher = body?.let { HttpRequest.BodyPublishers.ofString(it.toString()) } ?: HttpRequest.BodyPublishers.noBody()
         val request =
             HttpRequest
                 .newBuilder(URI.create("http://$address$path${encoded(query)}"))
                 .timeout(timeout)
-                .method(method, HttpRequest.BodyPublishers.noBody())
+                .method(method, publisher)
                 .build()
         return try {
             answer(http.send(request, HttpResponse.BodyHandlers.ofString()))
--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/DemoCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/DemoCommand.kt
@@ -1,9 +1,12 @@
 package dev.lycheehill.cli.command
 
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.Logger
 import dev.lycheehill.cli.ExitCode
 import dev.lycheehill.cli.demo.Demo
 import dev.lycheehill.cli.demo.Deployment
 import dev.lycheehill.cli.output.Json
+import org.slf4j.LoggerFactory
 import picocli.CommandLine.Command
 import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Option
@@ -52,12 +55,18 @@
         if (durationS !in DURATIONS_S) {
             throw ParameterException(spec.commandLine(), "--duration-s: expected a whole number from 1 to 40, found $durationS")
         }
+        quietLogs()
         val report = Demo(shape, seed, durationS, spec.commandLine().out).run()
         spec.commandLine().out.println(Json.document(report))
         spec.commandLine().out.flush()
         return if (report.ok) ExitCode.OK else ExitCode.FAILED
     }
 
+    // Thirteen nodes in one process would log each step that the narration tells already.
+    private fun quietLogs() {
+        (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as? Logger)?.level = Level.WARN
+    }
+
     private companion object {
         val DURATIONS_S = 1..40
     }
--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/ExplainCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/ExplainCommand.kt
@@ -18,7 +18,7 @@
     @Parameters(index = "1", paramLabel = "PATH", description = ["Path of the request."])
     lateinit var path: String
 
-    @Option(names = ["--host"], paramLabel = "NAME", defaultValue = "*", description = ["Host of the request (default: any)."])
+    @Option(names = ["--host"], paramLabel = "NAME", defaultValue = "", description = ["Host of the request (default: none)."])
     lateinit var host: String
 
     override fun call(): Int = show(node.client().get("/v1/explain", mapOf("method" to method, "path" to path, "host" to host)))
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/Caller.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/Caller.kt
@@ -110,24 +110,13 @@
         ) : Step
     }
 
-    /** Creation of HTTP clients for callers. */
-    companion object {
-        private const val OK = 200
-        private const val CONFLICT = 409
-        private const val DEFAULT_HINT_MS = 100L
-        private const val MAX_HINT_MS = 1_000L
-        private const val OTHER_NODE_DELAY_MS = 20L
-        private const val UNKNOWN_DELAY_MS = 300L
-        private val RESPONSE_TIMEOUT: Duration = Duration.ofSeconds(5)
-
-        /** Returns a client that may set the header `Host`, which the JDK forbids by default. */
-        fun newHttpClient(): HttpClient {
-            System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host")
-            return HttpClient
-                .newBuilder()
-                .version(HttpClient.Version.HTTP_1_1)
-                .connectTimeout(Duration.ofSeconds(1))
-                .build()
-        }
+    private companion object {
+        const val OK = 200
+        const val CONFLICT = 409
+        const val DEFAULT_HINT_MS = 100L
+        const val MAX_HINT_MS = 1_000L
+        const val OTHER_NODE_DELAY_MS = 20L
+        const val UNKNOWN_DELAY_MS = 300L
+        val RESPONSE_TIMEOUT: Duration = Duration.ofSeconds(5)
     }
 }
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
@@ -1,6 +1,8 @@
 package dev.lycheehill.cli.demo
 
+import dev.lycheehill.cli.client.HttpClients
 import java.io.PrintWriter
+import java.time.Duration
 
 /** A whole mesh in this process, with callers, changes and faults, that checks what the project promises. */
 class Demo(
@@ -50,13 +52,7 @@
     }
 
     private fun newLoad(mesh: DemoMesh): DemoLoad {
-        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host")
-        val http =
-            HttpClient
-                .newBuilder()
-                .version(HttpClient.Version.HTTP_1_1)
-                .connectTimeout(Duration.ofSeconds(1))
-                .build()
+        val http = HttpClients.create(connectTimeout = Duration.ofSeconds(1))
         val callers = mesh.live.map { own -> Caller(deployment.host, { mesh.egressAddresses(own) }, http) }
         return DemoLoad(deployment, callers, tally, seed)
     }
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoInstance.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoInstance.kt
@@ -1,14 +1,14 @@
 package dev.lycheehill.cli.demo
 
+import dev.lycheehill.cli.client.NodeClient
 import dev.lycheehill.cli.program.NodeProcess
-import dev.lycheehill.core.time.Subscription
+import dev.lycheehill.cli.program.TargetAnnouncer
+import dev.lycheehill.cli.program.TargetMessage
 import dev.lycheehill.core.time.TimerService
 import dev.lycheehill.fleet.FleetAgent
-import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.node.settings.HostPort
 import dev.lycheehill.node.settings.NodeLimits
 import dev.lycheehill.node.settings.NodeSettings
-import dev.lycheehill.node.target.TargetRegistration
 import dev.lycheehill.platformlog.PlatformLog
 import dev.lycheehill.standins.backend.BackendSettings
 import dev.lycheehill.standins.backend.BackendStandIn
@@ -21,7 +21,7 @@
     val service: String,
     private val slots: Int,
     log: PlatformLog,
-    private val timers: TimerService,
+    timers: TimerService,
     seed: Long,
 ) {
     val nodeId: String = settings.nodeId
@@ -32,7 +32,8 @@
 
     private val backend = BackendStandIn(BackendSettings(slots = slots, shortCalls = SERVICE_TIME, seed = seed), runs)
     private val process = NodeProcess(settings, log, timers, seed)
-    private var heartbeat: Subscription? = null
+    private lateinit var api: NodeClient
+    private lateinit var announcer: TargetAnnouncer
 
     /** The node's part in the fleet. */
     val agent: FleetAgent get() = process.agent
@@ -52,12 +53,13 @@
     fun start() {
         backend.start()
         process.start()
-        announce()
-        heartbeat = timers.every(LEASE_MS / RENEWALS_PER_LEASE) { announce() }
+        api = NodeClient(process.localApiAddress)
+        announcer = TargetAnnouncer(api, TargetMessage(service, backend.address, slots, LEASE_MS))
+        announcer.start()
     }
 
     /** Takes the target out of service. */
-    fun drain() = process.node.drain()
+    fun drain(): Boolean = api.post("/v1/drain").isRight()
 
     /** Number of requests that began to run on the backend server. */
     fun startedRuns(): Int = runs.all().values.sumOf { it.started }
@@ -74,19 +76,14 @@
     fun kill() {
         if (!alive) return
         alive = false
-        heartbeat?.cancel()
+        announcer.close()
         process.kill()
         backend.close()
     }
 
-    private fun announce() {
-        process.node.target.announce(TargetRegistration(service, backend.address, MemberState.READY, slots, LEASE_MS))
-    }
-
     /** Settings of the nodes of a demo. */
     companion object {
         private const val LEASE_MS = 5_000L
-        private const val RENEWALS_PER_LEASE = 3
         private val SERVICE_TIME = ServiceTime(medianMs = 3.0, p99Ms = 12.0)
 
         /** Returns settings with free ports on the loopback interface. */
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoScript.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoScript.kt
@@ -53,7 +53,7 @@
     fun drainTarget() {
         val instance = mesh.live.last { it.service == deployment.services.keys.first() }
         val cancelledBefore = instance.cancelledOrders()
-        instance.drain()
+        journal.check("the node accepts the drain", instance.drain())
         Thread.sleep(DRAIN_BOUND_MS)
         val afterBound = instance.startedRuns()
         Thread.sleep(DRAIN_WATCH_MS)
--- a/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeProcess.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeProcess.kt
@@ -10,8 +10,10 @@
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.node.DataPathSettings
 import dev.lycheehill.node.LycheehillNode
+import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.settings.HostPort
 import dev.lycheehill.node.settings.NodeSettings
+import dev.lycheehill.node.tracing.OtelSpanRecorder
 import dev.lycheehill.platformlog.PlatformLog
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -45,8 +47,16 @@
             seed = seed,
         )
 
-    /** The data path. */
-    val node = LycheehillNode(dataPathSettings(seed), agent, timers)
+    private val metrics = NodeMetrics()
+    private val spans = OtelSpanRecorder(settings.nodeId, settings.zone, settings.tracing)
+
+    private val node =
+        LycheehillNode(
+            settings = dataPathSettings(seed),
+            fleet = agent,
+            timers = timers,
+            furtherEndpoints = ObservationEndpoints.of(metrics, spans),
+        ).also { NodeGauges.bind(metrics, agent, it.target) }
 
     /** Address of the link to other nodes. */
     val controlAddress: HostPort get() = HostPort(link.address.host, link.address.port)
@@ -55,10 +65,15 @@
     lateinit var egressAddress: HostPort
         private set
 
+    /** Address of the local API; valid after [start]. */
+    lateinit var localApiAddress: HostPort
+        private set
+
     /** Starts to serve and to follow the configuration. */
     fun start() {
         node.start()
         egressAddress = HostPort(settings.addresses.egress.host, node.egressAddress.port)
+        localApiAddress = HostPort(settings.addresses.localApi.host, node.apiAddress.port)
         agent.start()
     }
 
@@ -66,12 +81,19 @@
     fun stop() {
         node.stop()
         agent.leave().join()
+        close()
     }
 
     /** Ends at once, as when the process is killed. */
     fun kill() {
         agent.stop()
         node.kill()
+        close()
+    }
+
+    private fun close() {
+        spans.close()
+        metrics.close()
     }
 
     private fun newLink(): Link {
--- /dev/null
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/program/TargetAnnouncer.kt
@@ -0,0 +1,47 @@
+package dev.lycheehill.cli.program
+
+import arrow.core.Either
+import com.fasterxml.jackson.databind.JsonNode
+import dev.lycheehill.cli.client.ClientError
+import dev.lycheehill.cli.client.NodeClient
+import dev.lycheehill.cli.output.Json
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/** Announces a backend server to the node beside it and renews the lease until it is closed. */
+class TargetAnnouncer(
+    private val client: NodeClient,
+    private val announcement: TargetMessage,
+) : AutoCloseable {
+    private val executor = Executors.newSingleThreadScheduledExecutor { Thread(it, "target-announcer").apply { isDaemon = true } }
+    private var accepted = false
+
+    /** Announces now and then three times in each lease. */
+    fun start() {
+        val periodMs = announcement.leaseMs / RENEWALS_PER_LEASE
+        executor.scheduleWithFixedDelay(::announce, 0, periodMs, TimeUnit.MILLISECONDS)
+    }
+
+    /** Stops to renew the lease; the node then takes the target out of service. */
+    override fun close() {
+        executor.shutdownNow()
+    }
+
+    private fun announce() {
+        val result = client.put("/v1/target", Json.document(announcement))
+        logChange(result)
+        accepted = result.isRight()
+    }
+
+    private fun logChange(result: Either<ClientError, JsonNode>) =
+        result.fold(
+            { if (accepted) logger.warn { "announcement_failed service=${announcement.service} reason=${it.message}" } },
+            { if (!accepted) logger.info { "announced service=${announcement.service} address=${announcement.address}" } },
+        )
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        const val RENEWALS_PER_LEASE = 3L
+    }
+}
--- a/cli/src/test/kotlin/dev/lycheehill/cli/demo/CallerTest.kt
+++ b/cli/src/test/kotlin/dev/lycheehill/cli/demo/CallerTest.kt
@@ -1,6 +1,7 @@
 package dev.lycheehill.cli.demo
 
 import com.sun.net.httpserver.HttpServer
+import dev.lycheehill.cli.client.HttpClients
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
@@ -63,7 +64,7 @@
     }
 
     private fun caller(addresses: () -> List<String>) =
-        Caller("bobbins.example", addresses, Caller.newHttpClient(), patience = Duration.ofMillis(1_500))
+        Caller("bobbins.example", addresses, HttpClients.create(Duration.ofSeconds(1)), patience = Duration.ofMillis(1_500))
 
     // The last answer is repeated.
     private fun serve(answers: List<String>) {
--- a/node/src/main/kotlin/dev/lycheehill/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/metrics/NodeMetrics.kt
@@ -4,6 +4,7 @@
 import dev.lycheehill.core.Verdict
 import dev.lycheehill.fleet.membership.MemberState
 import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Meter
 import io.micrometer.core.instrument.Tag
@@ -33,14 +34,20 @@
     private val queueTimes = Priority.entries.map { timer(NodeMeter.QUEUE_TIME, it.label()) }
     private val keyedCalls = KeyedAnswer.entries.map { counter(NodeMeter.KEYED_CALLS, it.label()) }
     private val patches = PatchResult.entries.map { counter(NodeMeter.PATCHES, it.label()) }
-    private val controlBytes = ControlDirection.entries.map { counter(NodeMeter.CONTROL_BYTES, it.label()) }
+    private val controlSources = ConcurrentHashMap<ControlDirection, () -> Number>()
     private val silentConnections = counter(NodeMeter.SILENT_CONNECTIONS)
-    private val refusedRecords = counter(NodeMeter.REFUSED_RECORDS)
+
+    @Volatile
+    private var refusedRecordsSource: () -> Number = { 0 }
 
     init {
         NodeMeter.entries
             .filter { it.kind == MeterKind.GAUGE && it.labels.isEmpty() }
             .forEach { meter -> gauge(meter) { gaugeSources[meter]?.invoke() ?: 0 } }
+        ControlDirection.entries.forEach { direction ->
+            functionCounter(NodeMeter.CONTROL_BYTES, direction.label()) { controlSources[direction]?.invoke() ?: 0 }
+        }
+        functionCounter(NodeMeter.REFUSED_RECORDS) { refusedRecordsSource() }
         MemberState.entries.forEach { state -> gauge(NodeMeter.MEMBERS, state.label()) { memberSources[state]?.invoke() ?: 0 } }
     }
 
@@ -81,14 +88,18 @@
     /** Counts a folded patch. */
     fun patchFolded(result: PatchResult) = patches[result.ordinal].increment()
 
-    /** Counts a record from a peer that does not extend the chain. */
-    fun recordRefused() = refusedRecords.increment()
+    /** Makes the number of refused records read [source], which only grows. */
+    fun bindRefusedRecords(source: () -> Number) {
+        refusedRecordsSource = source
+    }
 
-    /** Counts bytes of messages between nodes. */
-    fun controlBytes(
+    /** Makes the bytes of messages between nodes read [source], which only grows. */
+    fun bindControlBytes(
         direction: ControlDirection,
-        bytes: Long,
-    ) = controlBytes[direction.ordinal].increment(bytes.toDouble())
+        source: () -> Number,
+    ) {
+        controlSources[direction] = source
+    }
 
     /** Makes [meter], a gauge without labels, read [source] at each scrape. */
     fun bindGauge(
@@ -152,6 +163,17 @@
             .description(meter.meaning)
             .register(registry)
 
+    private fun functionCounter(
+        meter: NodeMeter,
+        vararg values: String,
+        source: () -> Number,
+    ): Meter =
+        FunctionCounter
+            .builder(meter.meterName, source) { it().toDouble() }
+            .tags(tags(meter, values))
+            .description(meter.meaning)
+            .register(registry)
+
     private fun tags(
         meter: NodeMeter,
         values: Array<out String>,
