Use the decisions of module calls on the path and test each fault

Cause: the path chose targets in turn, had no limits, and no test showed the verdicts under faults. Change: load-aware picker, adaptive admission, retry budget, hedges after the 95th percentile, progress limits, route table of module config, meters and spans.

--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -6,6 +6,7 @@
 import dev.lycheehill.fleet.FleetView
 import dev.lycheehill.node.api.ApiEndpoint
 import dev.lycheehill.node.api.ApiHandler
+import dev.lycheehill.node.api.ObservationEndpoints
 import dev.lycheehill.node.api.OperatorEndpoints
 import dev.lycheehill.node.api.ShowEndpoints
 import dev.lycheehill.node.api.TargetEndpoints
@@ -16,11 +17,15 @@
 import dev.lycheehill.node.ingress.IngressHandler
 import dev.lycheehill.node.loop.LoopContexts
 import dev.lycheehill.node.loop.Transport
-import dev.lycheehill.node.policy.BaselinePolicies
+import dev.lycheehill.node.metrics.NodeMeter
+import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.policy.CallPolicies
+import dev.lycheehill.node.policy.StandardPolicies
 import dev.lycheehill.node.routing.EndpointIndex
 import dev.lycheehill.node.routing.Router
 import dev.lycheehill.node.target.LocalTarget
+import dev.lycheehill.node.tracing.NoSpans
+import dev.lycheehill.node.tracing.SpanRecorder
 import io.netty.channel.EventLoopGroup
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -36,19 +41,22 @@
     private val settings: DataPathSettings,
     private val fleet: FleetView,
     private val timers: TimerService,
-    policies: CallPolicies = BaselinePolicies,
+    policies: CallPolicies = StandardPolicies,
     transport: Transport = Transport.best(),
     furtherEndpoints: List<ApiEndpoint> = emptyList(),
+    private val metrics: NodeMetrics = NodeMetrics(),
+    private val spans: SpanRecorder = NoSpans,
 ) {
+    private val admission = policies.newAdmission(slots = 1, maxQueue = DEFAULT_MAX_QUEUE)
+
     /** The backend server beside this node. */
-    val target = LocalTarget(fleet, timers)
+    val target = LocalTarget(fleet, timers) { admission.setSlots(it, System.nanoTime()) }
 
     private val group: EventLoopGroup = transport.newGroup(settings.eventLoops, "lycheehill-data")
     private val loops = LoopContexts(group, transport, settings)
     private val allowances = CallTreeAllowances()
     private val services = ServiceTable(policies, fleet.self.zone, settings.seed)
     private val router = Router()
-    private val admission = policies.newAdmission(slots = 1, maxQueue = 40)
     private val egress = DataPathServer(settings, transport, group, egressHandler())
     private val ingress = DataPathServer(settings, transport, group, ingressHandler())
     private val apiGroup: EventLoopGroup = Transport.NIO.newGroup(1, "lycheehill-api")
@@ -66,6 +74,8 @@
 
     /** Binds the listeners and starts to serve. */
     fun start() {
+        metrics.bindGauge(NodeMeter.IN_FLIGHT) { target.inFlight }
+        metrics.bindGauge(NodeMeter.CONFIG_VERSION) { fleet.foldState().version }
         ingress.start(settings.ingressPort)
         egress.start(settings.egressPort)
         api.start(settings.apiPort)
@@ -105,17 +115,19 @@
     }
 
     private fun egressHandler() =
-        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops))
+        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans))
 
     private fun apiEndpoints(): List<ApiEndpoint> =
-        TargetEndpoints(target).all() + OperatorEndpoints(fleet, target, ::drain).all() + ShowEndpoints(fleet, router).all()
+        TargetEndpoints(target).all() + OperatorEndpoints(fleet, target, ::drain).all() + ShowEndpoints(fleet, router).all() +
+            ObservationEndpoints(metrics, spans).all()
 
-    private fun ingressHandler() = IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops))
+    private fun ingressHandler() = IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops, metrics, spans))
 
     private companion object {
         const val LEASE_CHECK_MS = 500L
         const val ADMISSION_TICK_MS = 10L
         const val SWEEP_MS = 60_000L
+        const val DEFAULT_MAX_QUEUE = 40
         const val KILL_WAIT_MS = 2_000L
         const val IDLE_POLL_MS = 10L
         val UNUSED_NANOS = TimeUnit.MINUTES.toNanos(10)
--- a/node/src/main/kotlin/dev/lycheehill/node/api/Explanation.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/api/Explanation.kt
@@ -7,12 +7,10 @@
  * Answer of `GET /v1/explain`: where a request would go.
  *
  * @property route matching route of the highest rank; null when none matches.
- * @property otherRoutes further matching routes in order of rank.
  * @property targets members of the services that the route sends to.
  */
 data class Explanation(
     val version: Long,
     val route: Route? = null,
-    val otherRoutes: List<String> = emptyList(),
     val targets: List<MemberRecord> = emptyList(),
 )
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/api/ObservationEndpoints.kt
@@ -0,0 +1,17 @@
+package dev.lycheehill.node.api
+
+import dev.lycheehill.node.metrics.NodeMetrics
+import dev.lycheehill.node.tracing.SpanRecorder
+import io.netty.handler.codec.http.HttpMethod
+
+/** Metrics and the spans that this node holds. */
+internal class ObservationEndpoints(
+    private val metrics: NodeMetrics,
+    private val spans: SpanRecorder,
+) {
+    fun all(): List<ApiEndpoint> =
+        listOf(
+            ApiEndpoint(HttpMethod.GET, "/metrics") { ApiResponse.text(metrics.scrape()) },
+            ApiEndpoint(HttpMethod.GET, "/v1/trace/*") { ApiResponse.json(spans.trace(it.name)) },
+        )
+}
--- a/node/src/main/kotlin/dev/lycheehill/node/api/ShowEndpoints.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/api/ShowEndpoints.kt
@@ -59,8 +59,9 @@
     private fun explain(query: Map<String, String>): ApiResponse {
         val path = query["path"] ?: return ApiResponse.error(400, "query parameter path is missing")
         val state = fleet.foldState()
-        val ranked = router.candidates(state, query["host"].orEmpty(), path, query["method"] ?: "GET")
-        val route = ranked.firstOrNull() ?: return ApiResponse.json(Explanation(state.version))
+        val route =
+            router.match(state, query["host"].orEmpty(), path, query["method"] ?: "GET")
+                ?: return ApiResponse.json(Explanation(state.version))
         val services = route.weights.filterValues { it > 0 }.keys
         val targets =
             fleet
@@ -68,7 +69,7 @@
                 .values
                 .filter { it.service in services }
                 .sortedBy { it.nodeId }
-        return ApiResponse.json(Explanation(state.version, route, ranked.drop(1).map { it.name }, targets))
+        return ApiResponse.json(Explanation(state.version, route, targets))
     }
 
     private companion object {
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressAttempt.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressAttempt.kt
@@ -3,10 +3,13 @@
 import dev.lycheehill.calls.balancing.AttemptOutcome
 import dev.lycheehill.calls.balancing.LoadReport
 import dev.lycheehill.calls.balancing.TargetHandle
+import dev.lycheehill.core.Verdict
 import dev.lycheehill.node.http.CallHeaders
 import dev.lycheehill.node.relay.CollectedResponse
 import dev.lycheehill.node.relay.CollectorListener
 import dev.lycheehill.node.relay.ResponseCollector
+import dev.lycheehill.node.tracing.HopResult
+import dev.lycheehill.node.tracing.HopSpan
 import dev.lycheehill.node.upstream.ExchangeFailure
 import io.netty.handler.codec.http.HttpHeaders
 
@@ -15,6 +18,8 @@
     private val owner: EgressCall,
     val target: TargetHandle,
     val lentRetries: Int,
+    val number: Int,
+    val span: HopSpan,
 ) : CollectorListener {
     lateinit var collector: ResponseCollector
 
@@ -46,11 +51,28 @@
         ended = true
         val now = System.nanoTime()
         owner.service.picker.onFinish(target, now, now - startNanos, outcome, headers?.let(::loadOf))
+        if (outcome == AttemptOutcome.SUCCESS) owner.service.latencies.add(now - startNanos)
+        if (outcome == AttemptOutcome.SHED) owner.service.hedges?.onShed(now)
+        span.end(resultOf(outcome, headers))
         headers?.get(CallHeaders.RETRIES_LEFT)?.toIntOrNull()?.let { owner.allowance.giveBack(minOf(it, lentRetries)) }
     }
 
     /** Returns the lent retries of an attempt that did not run. */
     fun giveBackRetries() = owner.allowance.giveBack(lentRetries)
 
+    private fun resultOf(
+        outcome: AttemptOutcome,
+        headers: HttpHeaders?,
+    ) = HopResult(
+        route = owner.routeName,
+        version = owner.version,
+        target = target.info.id,
+        attempt = number,
+        verdict = headers?.get(CallHeaders.VERDICT)?.let(Verdict::fromHeader) ?: if (isSent) Verdict.MAY_HAVE_RUN else Verdict.NOT_RUN,
+        // A cancelled attempt has no response but is no failure of its target.
+        status = if (headers == null) null else collector.head.status().code(),
+        reason = if (outcome == AttemptOutcome.CANCELLED) "cancelled" else headers?.get(CallHeaders.REASON),
+    )
+
     private fun loadOf(headers: HttpHeaders): LoadReport? = headers.get(CallHeaders.LOAD)?.let(LoadHeader::parse)
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.calls.balancing.AttemptOutcome
 import dev.lycheehill.calls.verdict.Deadline
 import dev.lycheehill.calls.verdict.FailedAttempt
+import dev.lycheehill.calls.verdict.GiveUpReason
 import dev.lycheehill.calls.verdict.RetryAllowance
 import dev.lycheehill.calls.verdict.RetryDecision
 import dev.lycheehill.core.Verdict
@@ -15,6 +16,8 @@
 import dev.lycheehill.node.relay.CollectedResponse
 import dev.lycheehill.node.relay.ResponseCollector
 import dev.lycheehill.node.routing.RouteDecision
+import dev.lycheehill.node.tracing.Hop
+import dev.lycheehill.node.tracing.HopResult
 import dev.lycheehill.node.upstream.ExchangeFailure
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -35,10 +38,16 @@
     val service: ServiceCalls = environment.services.of(decision.service)
     val allowance: RetryAllowance =
         environment.allowances.forChild(TraceIds.treeOf(call.headers), call.headers.get(CallHeaders.RETRIES_LEFT))
+    private val startNanos = System.nanoTime()
+    private val span = environment.spans.start(Hop.EGRESS, call.headers.get(CallHeaders.TRACEPARENT))
+    private val meters = environment.metrics.route(decision.route.name)
+
+    val routeName: String get() = decision.route.name
+    val version: Long get() = decision.version
 
     private val idempotent = decision.isIdempotent(call.method.name())
     private val deadline =
-        Deadline.received(call.headers.get(CallHeaders.DEADLINE_MS), decision.timeoutMs.toLong(), System.nanoTime())
+        Deadline.received(call.headers.get(CallHeaders.DEADLINE_MS), decision.timeoutMs.toLong(), startNanos)
     private val template = RequestTemplate(call, decision)
     private val tried = ArrayList<String>(2)
     private val running = ArrayList<EgressAttempt>(2)
@@ -46,18 +55,22 @@
     private var mayHaveRun = false
     private var streaming: EgressAttempt? = null
     private var timer: ScheduledFuture<*>? = null
+    private var hedgeTimer: ScheduledFuture<*>? = null
 
     fun start() {
         val now = System.nanoTime()
         call.listener = this
         service.retries.onCall(now)
+        service.hedges?.onCall()
         timer = loop.eventLoop.schedule(::onDeadline, deadline.remainingNanos(now), TimeUnit.NANOSECONDS)
         attempt()
+        scheduleHedge()
     }
 
     override fun onCallerGone() {
-        timer?.cancel(false)
+        val verdict = if (mayHaveRun || running.any { it.isSent }) Verdict.MAY_HAVE_RUN else Verdict.NOT_RUN
         cancelAllBut(null)
+        ended(verdict, null, "caller-gone")
     }
 
     override fun onWritable() {
@@ -78,14 +91,15 @@
 
     fun onTooLong(attempt: EgressAttempt) {
         cancelAllBut(attempt)
+        hedgeTimer?.cancel(false)
         streaming = attempt
         val headers = attempt.collector.head.headers()
         attempt.collector.streamTo(call, callerHeaders(headers, Verdict.RAN))
     }
 
     fun onStreamed(attempt: EgressAttempt) {
-        timer?.cancel(false)
         attempt.end(AttemptOutcome.SUCCESS, attempt.collector.head.headers())
+        ended(Verdict.RAN, attempt.collector.head.status(), null)
     }
 
     fun onFailure(
@@ -95,10 +109,11 @@
         running.remove(attempt)
         attempt.end(AttemptOutcome.FAILURE, null)
         if (attempt === streaming) {
-            timer?.cancel(false)
             call.abort()
+            ended(Verdict.MAY_HAVE_RUN, null, failure.kind.reason)
             return
         }
+        if (failure.kind == ExchangeFailure.Kind.SILENT) environment.metrics.silentConnection()
         if (failure.verdict == Verdict.NOT_RUN) attempt.giveBackRetries() else mayHaveRun = true
         val status = if (failure.kind == ExchangeFailure.Kind.SILENT) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.BAD_GATEWAY
         next(GivenUp(failure.verdict, status, failure.kind.reason))
@@ -109,7 +124,7 @@
         response: CollectedResponse,
     ) {
         cancelAllBut(null)
-        timer?.cancel(false)
+        ended(Verdict.RAN, response.status, null)
         attempt.end(outcomeOf(response.status), response.headers)
         call.respond(response.status, callerHeaders(response.headers, Verdict.RAN), response.body)
     }
@@ -150,7 +165,8 @@
         attempts++
         tried.add(target.info.id)
         service.picker.onStart(target, now)
-        send(EgressAttempt(this, target, allowance.lend()), now)
+        val attemptSpan = environment.spans.start(Hop.ATTEMPT, span.traceparent)
+        send(EgressAttempt(this, target, allowance.lend(), attempts, attemptSpan), now)
     }
 
     private fun send(
@@ -162,9 +178,10 @@
         val collector = ResponseCollector(environment.settings.maxBufferedResponseBytes, callId, attempt)
         attempt.collector = collector
         running.add(attempt)
-        val head = template.head(callId, remainingMs, attempt.lentRetries, remainingMs)
+        val progressMs = if (idempotent) service.progressLimitMs(remainingMs) else remainingMs
+        val head = template.head(callId, remainingMs, attempt.lentRetries, progressMs, attempt.span.traceparent)
         val pool = loop.upstreams.pool(attempt.target.info.address)
-        collector.exchange = pool.send(head, call.body.retainedDuplicate(), remainingMs + PROGRESS_GRACE_MS, collector)
+        collector.exchange = pool.send(head, call.body.retainedDuplicate(), progressMs + PROGRESS_GRACE_MS, collector)
     }
 
     private fun next(outcome: GivenUp) {
@@ -181,8 +198,14 @@
                 retryAfterMs = outcome.retryAfterMs,
             )
         when (val choice = service.retries.decide(failed, System.nanoTime())) {
-            is RetryDecision.Final -> giveUp(outcome, choice.retryAfterMs)
-            is RetryDecision.Elsewhere -> retryAfter(choice.delayMs)
+            is RetryDecision.Final -> {
+                if (choice.reason == GiveUpReason.BUDGET) meters.retryDenied()
+                giveUp(outcome, choice.retryAfterMs)
+            }
+            is RetryDecision.Elsewhere -> {
+                meters.retried()
+                retryAfter(choice.delayMs)
+            }
         }
     }
 
@@ -190,11 +213,30 @@
         if (delayMs == 0L) attempt() else loop.eventLoop.schedule({ if (!call.isAnswered) attempt() }, delayMs, TimeUnit.MILLISECONDS)
     }
 
+    // A request with a key runs at its home only, so it is not sent to a second target.
+    private fun scheduleHedge() {
+        val delayNanos = service.latencies.p95Nanos ?: return
+        if (service.hedges == null || !idempotent || call.isAnswered || call.headers.contains(CallHeaders.IDEMPOTENCY_KEY)) return
+        hedgeTimer = loop.eventLoop.schedule(::hedge, delayNanos, TimeUnit.NANOSECONDS)
+    }
+
+    private fun hedge() {
+        if (call.isAnswered || streaming != null || running.size != 1) return
+        if (service.hedges?.take(System.nanoTime()) != true) return
+        meters.hedged()
+        attempt()
+    }
+
     private fun onDeadline() {
         if (call.isAnswered && streaming == null) return
         mayHaveRun = mayHaveRun || running.any { it.isSent }
         cancelAllBut(null)
-        if (streaming != null) call.abort() else giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline"), null)
+        if (streaming == null) {
+            giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline"), null)
+            return
+        }
+        call.abort()
+        ended(Verdict.MAY_HAVE_RUN, null, "deadline")
     }
 
     // An earlier attempt of an idempotent call may have run even if the last one did not.
@@ -202,11 +244,32 @@
         outcome: GivenUp,
         retryAfterMs: Long?,
     ) {
-        timer?.cancel(false)
         val verdict = if (mayHaveRun) Verdict.MAY_HAVE_RUN else outcome.verdict
+        ended(verdict, outcome.status, outcome.reason)
         NodeResponses.giveUp(call, outcome.status, verdict, outcome.reason, decision.version, retryAfterMs)
     }
 
+    private fun ended(
+        verdict: Verdict,
+        status: HttpResponseStatus?,
+        reason: String?,
+    ) {
+        timer?.cancel(false)
+        hedgeTimer?.cancel(false)
+        meters.callFinished(verdict, System.nanoTime() - startNanos)
+        span.end(
+            HopResult(
+                route = routeName,
+                version = version,
+                target = tried.lastOrNull(),
+                attempt = attempts,
+                verdict = verdict,
+                status = status?.code(),
+                reason = reason,
+            ),
+        )
+    }
+
     private fun cancelAllBut(kept: EgressAttempt?) {
         running.filter { it !== kept }.forEach { it.cancel() }
         running.removeAll { it !== kept }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
@@ -4,8 +4,10 @@
 import dev.lycheehill.fleet.FleetView
 import dev.lycheehill.node.DataPathSettings
 import dev.lycheehill.node.loop.LoopContexts
+import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.routing.EndpointIndex
 import dev.lycheehill.node.routing.Router
+import dev.lycheehill.node.tracing.SpanRecorder
 
 /** What all egress calls of a node share. */
 internal class EgressEnvironment(
@@ -16,4 +18,6 @@
     val services: ServiceTable,
     val allowances: CallTreeAllowances,
     val loops: LoopContexts,
+    val metrics: NodeMetrics,
+    val spans: SpanRecorder,
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/RequestTemplate.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/RequestTemplate.kt
@@ -23,12 +23,14 @@
         deadlineMs: Long,
         retriesLeft: Int,
         progressMs: Long,
+        traceparent: String,
     ): HttpRequest {
         val headers = HeaderRules.newHeaders().set(common)
         headers.set(CallHeaders.CALL_ID, callId)
         headers.set(CallHeaders.DEADLINE_MS, deadlineMs.toString())
         headers.set(CallHeaders.RETRIES_LEFT, retriesLeft.toString())
         headers.set(CallHeaders.PROGRESS_MS, progressMs.toString())
+        if (traceparent.isNotEmpty()) headers.set(CallHeaders.TRACEPARENT, traceparent)
         return DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri, headers)
     }
 
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/ServiceCalls.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/ServiceCalls.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.calls.balancing.TargetInfo
 import dev.lycheehill.calls.balancing.TargetPicker
 import dev.lycheehill.calls.verdict.RetryPolicy
+import dev.lycheehill.core.time.NANOS_PER_MILLI
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
 
@@ -10,7 +11,10 @@
 internal class ServiceCalls(
     val picker: TargetPicker,
     val retries: RetryPolicy,
+    val hedges: HedgeBudget?,
 ) {
+    val latencies = LatencyQuantiles()
+
     @Volatile
     private var known: List<MemberRecord>? = null
 
@@ -31,6 +35,12 @@
         }
     }
 
+    /** Longest time without a byte of the response to an idempotent call, at most [remainingMs]. */
+    fun progressLimitMs(remainingMs: Long): Long {
+        val p99Nanos = latencies.p99Nanos ?: return remainingMs
+        return minOf(remainingMs, 3 * p99Nanos / NANOS_PER_MILLI + PROGRESS_MARGIN_MS)
+    }
+
     private fun infoOf(record: MemberRecord) =
         TargetInfo(
             id = record.nodeId,
@@ -39,4 +49,8 @@
             slots = record.slots,
             cold = record.state == MemberState.COLD,
         )
+
+    private companion object {
+        const val PROGRESS_MARGIN_MS = 250L
+    }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/ServiceTable.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/ServiceTable.kt
@@ -27,5 +27,6 @@
         ServiceCalls(
             picker = policies.newPicker(service, zone, seed xor service.name.hashCode().toLong()),
             retries = policies.newRetryPolicy(service),
+            hedges = if (policies.hedges && service.hedgePercent > 0) HedgeBudget(service.hedgePercent) else null,
         )
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -5,8 +5,10 @@
 import dev.lycheehill.calls.admission.AdmissionResult
 import dev.lycheehill.calls.admission.CallCost
 import dev.lycheehill.calls.admission.CallPriority
+import dev.lycheehill.calls.admission.RejectReason
 import dev.lycheehill.calls.verdict.Deadline
 import dev.lycheehill.calls.verdict.RetryAllowance
+import dev.lycheehill.config.model.Priority
 import dev.lycheehill.core.Verdict
 import dev.lycheehill.node.egress.LoadHeader
 import dev.lycheehill.node.egress.TraceIds
@@ -16,9 +18,12 @@
 import dev.lycheehill.node.http.InboundCallListener
 import dev.lycheehill.node.http.NodeResponses
 import dev.lycheehill.node.loop.LoopContext
+import dev.lycheehill.node.metrics.ShedReason
 import dev.lycheehill.node.relay.CollectedResponse
 import dev.lycheehill.node.relay.CollectorListener
 import dev.lycheehill.node.relay.ResponseCollector
+import dev.lycheehill.node.tracing.Hop
+import dev.lycheehill.node.tracing.HopResult
 import dev.lycheehill.node.upstream.ExchangeFailure
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpHeaders
@@ -51,6 +56,8 @@
             listener = this,
         )
     private val treeId = TraceIds.treeOf(call.headers)
+    private val span = environment.spans.start(Hop.INGRESS, call.headers.get(CallHeaders.TRACEPARENT))
+    private val arrivedNanos = System.nanoTime()
     private var stage = Stage.WAITING
     private var collector: ResponseCollector? = null
     private var streaming = false
@@ -87,6 +94,7 @@
             Stage.RUNNING -> {
                 collector?.cancel()
                 ended(succeeded = false)
+                endSpan(Verdict.MAY_HAVE_RUN, null, "caller-gone")
             }
             Stage.DONE -> Unit
         }
@@ -98,6 +106,7 @@
 
     override fun onWhole(response: CollectedResponse) {
         val headers = peerHeaders(response.headers, ended(succeeded = true))
+        endSpan(Verdict.RAN, response.status, null)
         call.respond(response.status, headers, response.body)
     }
 
@@ -108,10 +117,12 @@
 
     override fun onStreamed() {
         ended(succeeded = true)
+        endSpan(Verdict.RAN, collector?.head?.status(), null)
     }
 
     override fun onFailure(failure: ExchangeFailure) {
         val unused = ended(succeeded = false)
+        endSpan(failure.verdict, null, failure.kind.reason)
         if (streaming) {
             call.abort()
             return
@@ -149,6 +160,7 @@
         }
         stage = Stage.RUNNING
         startNanos = nowNanos
+        environment.metrics.queued(Priority.entries[admitted.priority.ordinal], nowNanos - arrivedNanos)
         environment.target.callStarted()
         if (treeId != null) environment.allowances.start(treeId, RetryAllowance.received(call.headers.get(CallHeaders.RETRIES_LEFT)))
         send(registration.address, nowNanos)
@@ -177,6 +189,7 @@
             return
         }
         val verdict = if (sent) Verdict.MAY_HAVE_RUN else Verdict.NOT_RUN
+        endSpan(verdict, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline")
         NodeResponses.giveUp(call, HttpResponseStatus.GATEWAY_TIMEOUT, verdict, "deadline")
     }
 
@@ -190,8 +203,35 @@
         return treeId?.let(environment.allowances::finish) ?: 0
     }
 
-    private fun refuse(rejection: AdmissionResult.Rejected) =
+    private fun refuse(rejection: AdmissionResult.Rejected) {
+        environment.metrics.shed(shedReasonOf(rejection.reason))
         refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, rejection.reason.headerValue, rejection.retryAfterMs)
+    }
+
+    private fun shedReasonOf(reason: RejectReason): ShedReason =
+        when (reason) {
+            RejectReason.QUEUE_FULL -> ShedReason.QUEUE_FULL
+            RejectReason.QUEUE_TIME -> ShedReason.QUEUE_AGE
+            RejectReason.DEADLINE -> ShedReason.DEADLINE
+            RejectReason.DRAINING -> ShedReason.DRAINING
+        }
+
+    private fun endSpan(
+        verdict: Verdict,
+        status: HttpResponseStatus?,
+        reason: String?,
+    ) {
+        span.end(
+            HopResult(
+                route = admitted.route,
+                version = call.headers.get(CallHeaders.VERSION)?.toLongOrNull() ?: 0,
+                verdict = verdict,
+                queueNanos = if (startNanos == 0L) 0 else startNanos - arrivedNanos,
+                status = status?.code(),
+                reason = reason,
+            ),
+        )
+    }
 
     private fun refuse(
         status: HttpResponseStatus,
@@ -199,6 +239,7 @@
         retryAfterMs: Long?,
     ) {
         stage = Stage.DONE
+        endSpan(Verdict.NOT_RUN, status, reason)
         NodeResponses.giveUp(call, status, Verdict.NOT_RUN, reason, retryAfterMs = retryAfterMs, extra = ::setLoad)
     }
 
@@ -206,6 +247,7 @@
         val headers = HeaderRules.endToEnd(call.headers)
         HeaderRules.setLength(headers, call)
         headers.set(CallHeaders.DEADLINE_MS, remainingMs.toString())
+        if (span.traceparent.isNotEmpty()) headers.set(CallHeaders.TRACEPARENT, span.traceparent)
         call.headers.get(CallHeaders.RETRIES_LEFT)?.let { headers.set(CallHeaders.RETRIES_LEFT, it) }
         return headers
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
@@ -4,7 +4,9 @@
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.node.DataPathSettings
 import dev.lycheehill.node.loop.LoopContexts
+import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.target.LocalTarget
+import dev.lycheehill.node.tracing.SpanRecorder
 
 /** What all ingress calls of a node share. */
 internal class IngressEnvironment(
@@ -13,4 +15,6 @@
     val admission: AdmissionControl,
     val allowances: CallTreeAllowances,
     val loops: LoopContexts,
+    val metrics: NodeMetrics,
+    val spans: SpanRecorder,
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/policy/BaselinePolicies.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/policy/BaselinePolicies.kt
@@ -10,6 +10,8 @@
 
 /** Round robin, no limits and no hedging, for comparison. */
 object BaselinePolicies : CallPolicies {
+    override val hedges: Boolean = false
+
     override fun newPicker(
         service: Service,
         zone: String,
--- a/node/src/main/kotlin/dev/lycheehill/node/policy/CallPolicies.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/policy/CallPolicies.kt
@@ -7,6 +7,9 @@
 
 /** Makes the parts that decide about calls. A measurement compares two implementations in one run. */
 interface CallPolicies {
+    /** Whether slow idempotent calls get a second attempt. */
+    val hedges: Boolean
+
     /** Returns a new picker for the targets of [service]; [zone] is that of this node. */
     fun newPicker(
         service: Service,
--- a/node/src/main/kotlin/dev/lycheehill/node/routing/Router.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/routing/Router.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.config.fold.FoldState
 import dev.lycheehill.config.model.ConfigContent
 import dev.lycheehill.config.model.Route
+import dev.lycheehill.config.route.RouteTable
 import dev.lycheehill.node.http.InboundCall
 import io.netty.handler.codec.http.HttpHeaderNames
 import java.util.SplittableRandom
@@ -29,18 +30,18 @@
         return RouteDecision(state.version, route, service)
     }
 
-    /** Returns all routes of [state] that match, in order of rank. */
-    fun candidates(
+    /** Returns the route of a request in [state], or null when none matches. */
+    fun match(
         state: FoldState,
         host: String,
         path: String,
         method: String,
-    ): List<Route> = tableOf(state.content).matches(host, path, method)
+    ): Route? = tableOf(state.content).match(host, path, method)
 
-    private fun tableOf(content: ConfigContent): Compiled {
+    private fun tableOf(content: ConfigContent): RouteTable {
         val current = compiled
-        if (current.content === content) return current
-        return Compiled(content).also { compiled = it }
+        if (current.content === content) return current.table
+        return Compiled(content).also { compiled = it }.table
     }
 
     private fun chooseService(
@@ -59,39 +60,6 @@
     private class Compiled(
         val content: ConfigContent,
     ) {
-        private val ordered =
-            content.routes.values.sortedWith(
-                compareBy<Route> { it.host == "*" }
-                    .thenByDescending { it.pathPrefix.length }
-                    .thenBy { it.methods.isEmpty() }
-                    .thenBy { it.name },
-            )
-
-        fun match(
-            host: String,
-            path: String,
-            method: String,
-        ): Route? = ordered.firstOrNull { accepts(it, host, path, method) }
-
-        fun matches(
-            host: String,
-            path: String,
-            method: String,
-        ): List<Route> = ordered.filter { accepts(it, host, path, method) }
-
-        private fun accepts(
-            route: Route,
-            host: String,
-            path: String,
-            method: String,
-        ): Boolean =
-            (route.host == "*" || route.host.equals(host, ignoreCase = true)) &&
-                (route.methods.isEmpty() || method in route.methods) &&
-                covers(route.pathPrefix, path)
-
-        private fun covers(
-            prefix: String,
-            path: String,
-        ): Boolean = path.startsWith(prefix) && (prefix.endsWith("/") || path.length == prefix.length || path[prefix.length] == '/')
+        val table: RouteTable = RouteTable.of(content)
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/target/LocalTarget.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/LocalTarget.kt
@@ -16,6 +16,7 @@
 class LocalTarget(
     private val fleet: FleetView,
     private val timers: TimerService,
+    private val onSlots: (Int) -> Unit = {},
 ) {
     @Volatile
     private var registration: TargetRegistration? = null
@@ -51,6 +52,7 @@
     fun announce(next: TargetRegistration) {
         val renewsSame = registration == next && !isLeaseExpired()
         registration = next
+        onSlots(slotsOf(next))
         leaseEndNanos = timers.nowNanos() + next.leaseMs * NANOS_PER_MILLI
         if (!renewsSame) publish()
     }
@@ -99,6 +101,12 @@
         meanLatencyNanos = if (last == 0L) durationNanos else last + (durationNanos - last) / LATENCY_SMOOTHING
     }
 
+    // Each renewal of the lease applies the limit of the configuration that is then in force.
+    private fun slotsOf(next: TargetRegistration): Int {
+        val service = fleet.foldState().content.services[next.service]
+        return if (service == null) next.slots else minOf(next.slots, service.maxInFlightPerTarget)
+    }
+
     private fun isLeaseExpired() = timers.nowNanos() - leaseEndNanos > 0
 
     private fun publish() {
