--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -216,7 +216,8 @@
     // A request with a key runs at its home only, so it is not sent to a second target.
     private fun scheduleHedge() {
         val delayNanos = service.latencies.p95Nanos ?: return
-        if (service.hedges == null || !idempotent || call.isAnswered || call.headers.contains(CallHeaders.IDEMPOTENCY_KEY)) return
+        val mayHedge = idempotent && !call.headers.contains(CallHeaders.IDEMPOTENCY_KEY)
+        if (service.hedges == null || !mayHedge || call.isAnswered) return
         hedgeTimer = loop.eventLoop.schedule(::hedge, delayNanos, TimeUnit.NANOSECONDS)
     }
 
