--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
@@ -13,6 +13,8 @@
     description = ["Distributes configuration in a service mesh and carries the calls that it routes."],
     subcommands = [
         DemoCommand::class,
+        BackendCommand::class,
+        StatusCommand::class,
         ShowCommand::class,
         HistoryCommand::class,
         ExplainCommand::class,
--- a/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeGauges.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeGauges.kt
@@ -5,20 +5,16 @@
 import dev.lycheehill.node.metrics.ControlDirection
 import dev.lycheehill.node.metrics.NodeMeter
 import dev.lycheehill.node.metrics.NodeMetrics
-import dev.lycheehill.node.target.LocalTarget
 
 /** Connects meters to the parts of a node that hold their values. */
 object NodeGauges {
-    /** Makes [metrics] read [agent] and [target]. */
+    /** Makes [metrics] read [agent]. */
     fun bind(
         metrics: NodeMetrics,
         agent: FleetAgent,
-        target: LocalTarget,
     ) {
-        metrics.bindGauge(NodeMeter.CONFIG_VERSION) { agent.foldState().version }
         metrics.bindGauge(NodeMeter.FOLD_STOPPED) { flag(agent.foldState().stoppedReason != null) }
         metrics.bindGauge(NodeMeter.LOG_DIVERGENCE) { flag(agent.logDivergence != null) }
-        metrics.bindGauge(NodeMeter.IN_FLIGHT) { target.inFlight }
         metrics.bindRefusedRecords { agent.counters.refusedRecords.get() }
         metrics.bindControlBytes(ControlDirection.SENT) { agent.traffic.bytesSent.get() }
         metrics.bindControlBytes(ControlDirection.RECEIVED) { agent.traffic.bytesReceived.get() }
--- a/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeProcess.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeProcess.kt
@@ -55,8 +55,9 @@
             settings = dataPathSettings(seed),
             fleet = agent,
             timers = timers,
-            furtherEndpoints = ObservationEndpoints.of(metrics, spans),
-        ).also { NodeGauges.bind(metrics, agent, it.target) }
+            metrics = metrics,
+            spans = spans,
+        )
 
     /** Address of the link to other nodes. */
     val controlAddress: HostPort get() = HostPort(link.address.host, link.address.port)
@@ -71,6 +72,7 @@
 
     /** Starts to serve and to follow the configuration. */
     fun start() {
+        NodeGauges.bind(metrics, agent)
         node.start()
         egressAddress = HostPort(settings.addresses.egress.host, node.egressAddress.port)
         localApiAddress = HostPort(settings.addresses.localApi.host, node.apiAddress.port)
