Add the log client, the publisher and the stand-in of the log

Cause: operators need one plain answer to a publish, whatever the log does, and tests and demos need a log. Change: HttpPlatformLog (java.net.http), InMemoryPlatformLog with fault switches, Publisher with InForceSource and FoldStateSource, LogStandIn on Netty with long polls that block no thread. JSON is read without jackson-module-kotlin: with the kotlin-reflect that Maven resolves, writing any Kotlin class fails with AbstractMethodError KClass.isValue. platform-log no longer declares netty-codec-http, which it does not use. Before: a publish after a lost answer would fence at once. Now it searches, appends the same patch again (harmless, since a patch is accepted at most once) and fences only after the time limit. Measured: mvn -B -ntp -o -q -pl standins -am verify passes; PublisherTest 27, PlatformLogContractTest 14 (7 cases on both implementations), HttpPlatformLogTest 19 tests.

--- /dev/null
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/http/HttpFailures.kt
@@ -0,0 +1,47 @@
+package dev.lycheehill.platformlog.http
+
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.platformlog.LogError
+import java.io.IOException
+import java.net.ConnectException
+import java.net.http.HttpConnectTimeoutException
+import java.net.http.HttpResponse
+import java.net.http.HttpTimeoutException
+
+/** Maps failures of HTTP calls to [LogError]. Verdicts are those of an append. */
+internal object HttpFailures {
+    private const val MS_PER_S = 1_000L
+
+    fun of(failure: IOException): LogError =
+        when (failure) {
+            is HttpConnectTimeoutException, is ConnectException ->
+                LogError(LogError.Kind.UNAVAILABLE, Verdict.NOT_RUN, "no connection to the log: ${failure.message}")
+            is HttpTimeoutException -> LogError(LogError.Kind.TIMEOUT, Verdict.MAY_HAVE_RUN, "no answer of the log in time")
+            else -> LogError(LogError.Kind.UNAVAILABLE, Verdict.MAY_HAVE_RUN, "connection to the log lost: ${failure.message}")
+        }
+
+    // The protocol states that 429 and 503 are answered before the append takes effect. Other server errors may come from
+    // an intermediary after the append was forwarded.
+    fun of(response: HttpResponse<*>): LogError {
+        val status = response.statusCode()
+        val message = "the log answered with status $status"
+        return when (status) {
+            429 -> LogError(LogError.Kind.RATE_LIMITED, Verdict.NOT_RUN, message, retryAfterMs(response))
+            503 -> LogError(LogError.Kind.UNAVAILABLE, Verdict.NOT_RUN, message, retryAfterMs(response))
+            408 -> LogError(LogError.Kind.TIMEOUT, Verdict.MAY_HAVE_RUN, message)
+            in 400..499 -> LogError(LogError.Kind.REFUSED, Verdict.NOT_RUN, message)
+            else -> LogError(LogError.Kind.UNAVAILABLE, Verdict.MAY_HAVE_RUN, message)
+        }
+    }
+
+    fun unreadable(detail: String?): LogError =
+        LogError(LogError.Kind.UNAVAILABLE, Verdict.MAY_HAVE_RUN, "unreadable answer of the log: $detail")
+
+    private fun retryAfterMs(response: HttpResponse<*>): Long? =
+        response
+            .headers()
+            .firstValue("retry-after")
+            .map { it.toLongOrNull() }
+            .orElse(null)
+            ?.times(MS_PER_S)
+}
--- /dev/null
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/http/HttpPlatformLog.kt
@@ -0,0 +1,80 @@
+package dev.lycheehill.platformlog.http
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.platformlog.LogError
+import dev.lycheehill.platformlog.LogPage
+import dev.lycheehill.platformlog.PlatformLog
+import java.io.IOException
+import java.net.URI
+import java.net.URLEncoder
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+
+/** Client of the platform's log over HTTP. Thread-safe. Calls throw [InterruptedException] when interrupted. */
+class HttpPlatformLog(
+    private val settings: HttpLogSettings,
+) : PlatformLog {
+    private val client =
+        HttpClient
+            .newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofMillis(settings.connectTimeoutMs))
+            .build()
+
+    override fun append(
+        stream: String,
+        payload: ByteArray,
+    ): Either<LogError, Long> {
+        val request = request(records(stream), waitMs = 0).POST(HttpRequest.BodyPublishers.ofByteArray(payload)).build()
+        return send(request).flatMap { body -> parse { LogJson.readAppendAnswer(body) } }
+    }
+
+    override fun read(
+        stream: String,
+        fromOffset: Long,
+        maxRecords: Int,
+        waitMs: Long,
+    ): Either<LogError, LogPage> {
+        val query = "?from=$fromOffset&max=$maxRecords&wait_ms=$waitMs"
+        return send(request(records(stream) + query, waitMs).GET().build())
+            .flatMap { body -> parse { LogJson.readPage(body) } }
+            .flatMap { page -> if (page.isValid(fromOffset)) page.right() else HttpFailures.unreadable("offsets out of order").left() }
+            .mapLeft { it.copy(verdict = Verdict.NOT_RUN) }
+    }
+
+    private fun LogPage.isValid(fromOffset: Long): Boolean =
+        firstRetainedOffset in 0..nextOffset &&
+            entries.withIndex().all { (index, entry) -> entry.offset == fromOffset + index && entry.offset < nextOffset }
+
+    private fun request(
+        path: String,
+        waitMs: Long,
+    ): HttpRequest.Builder =
+        HttpRequest
+            .newBuilder(URI.create(settings.baseUri.toString().removeSuffix("/") + path))
+            .timeout(Duration.ofMillis(settings.requestTimeoutMs + waitMs))
+
+    private fun records(stream: String) = "/v1/streams/${URLEncoder.encode(stream, Charsets.UTF_8)}/records"
+
+    private fun send(request: HttpRequest): Either<LogError, ByteArray> =
+        try {
+            val response = client.send(request, HttpResponse.BodyHandlers.ofByteArray())
+            if (response.statusCode() == 200) response.body().right() else HttpFailures.of(response).left()
+        } catch (e: IOException) {
+            HttpFailures.of(e).left()
+        }
+
+    // An answer that cannot be read says nothing about the append.
+    private fun <T> parse(read: () -> T): Either<LogError, T> =
+        try {
+            read().right()
+        } catch (e: IOException) {
+            HttpFailures.unreadable(e.message?.lineSequence()?.first()).left()
+        }
+}
--- /dev/null
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/publish/LogFollower.kt
@@ -0,0 +1,61 @@
+package dev.lycheehill.platformlog.publish
+
+import arrow.core.Either
+import dev.lycheehill.config.fold.ConfigFold
+import dev.lycheehill.config.fold.FoldState
+import dev.lycheehill.config.fold.PatchOutcome
+import dev.lycheehill.config.fold.outcomeOf
+import dev.lycheehill.config.log.PatchId
+import dev.lycheehill.config.log.Streams
+import dev.lycheehill.platformlog.LogError
+import dev.lycheehill.platformlog.PlatformLog
+
+/** Folds the log for one publish, ahead of the node or behind it, whichever is further. Not thread-safe. */
+internal class LogFollower(
+    private val log: PlatformLog,
+    private val node: FoldStateSource,
+) {
+    /** Furthest state known. */
+    var state: FoldState = node.foldState()
+        private set
+
+    /** Why no further records can be folded; null while they can. */
+    val obstacle: String? get() = divergence ?: state.stoppedReason
+
+    private var divergence: String? = null
+
+    /** Returns what the records so far prove about [id]; null when they prove nothing. */
+    fun outcomeOf(id: PatchId): PatchOutcome? = state.outcomeOf(id).takeIf { it != PatchOutcome.NotKnownYet }
+
+    /** Reads new records, waiting up to [waitMs] for the first. Returns false when the log gave none of its records. */
+    fun poll(waitMs: Long): Boolean {
+        adoptNodeState()
+        val page = log.read(Streams.CONFIG, state.nextOffset, MAX_RECORDS, waitMs).getOrNull()
+        // The node may have received records from peers while the log was waited for.
+        adoptNodeState()
+        if (page != null) checkEnd(page.nextOffset)
+        if (divergence == null) page?.entries?.forEach { state = ConfigFold.apply(state, it) }
+        return page != null && page.firstRetainedOffset <= state.nextOffset
+    }
+
+    /** Appends [payload]. An offset that was folded before shows that the log is not the one that was followed. */
+    fun append(payload: ByteArray): Either<LogError, Long> {
+        val foldedBefore = state.nextOffset
+        return log.append(Streams.CONFIG, payload).onRight { if (it < foldedBefore) checkEnd(it) }
+    }
+
+    private fun checkEnd(endOffset: Long) {
+        if (endOffset < state.nextOffset) {
+            divergence = "the log ends at offset $endOffset, but offset ${state.nextOffset} was reached before"
+        }
+    }
+
+    private fun adoptNodeState() {
+        val current = node.foldState()
+        if (current.nextOffset > state.nextOffset) state = current
+    }
+
+    private companion object {
+        const val MAX_RECORDS = 256
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/dev/lycheehill/standins/log/FaultsJson.kt
@@ -0,0 +1,65 @@
+package dev.lycheehill.standins.log
+
+import arrow.core.Either
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.ObjectMapper
+import dev.lycheehill.platformlog.memory.LogFaults
+
+/** JSON body of `PUT /v1/faults`. Absent keys mean no fault; null stands for an absent limit. */
+internal object FaultsJson {
+    private const val OUTAGE = "outage"
+    private const val DELAY_MS = "delay_ms"
+    private const val LOSE_ANSWERS = "lose_answers"
+    private const val MAX_APPENDS_PER_S = "max_appends_per_s"
+    private const val RETAIN_RECORDS = "retain_records"
+    private val keys = listOf(OUTAGE, DELAY_MS, LOSE_ANSWERS, MAX_APPENDS_PER_S, RETAIN_RECORDS)
+    private val mapper = ObjectMapper()
+
+    /** Reads the switches, or names the fault of the body. */
+    fun read(body: ByteArray): Either<String, LogFaults> =
+        try {
+            faults(mapper.readTree(body))
+        } catch (e: JsonProcessingException) {
+            Either.Left(e.originalMessage)
+        }
+
+    fun write(faults: LogFaults): ByteArray =
+        mapper.writeValueAsBytes(
+            mapper
+                .createObjectNode()
+                .put(OUTAGE, faults.outage)
+                .put(DELAY_MS, faults.delayMs)
+                .put(LOSE_ANSWERS, faults.loseAnswers)
+                .put(MAX_APPENDS_PER_S, faults.maxAppendsPerS)
+                .put(RETAIN_RECORDS, faults.retainRecords),
+        )
+
+    fun error(message: String): ByteArray = mapper.writeValueAsBytes(mapper.createObjectNode().put("error", message))
+
+    private fun faults(root: JsonNode): Either<String, LogFaults> {
+        if (!root.isObject) return Either.Left("the body must be a JSON object")
+        val fault =
+            root.fieldNames().asSequence().firstNotNullOfOrNull { key ->
+                when {
+                    key !in keys -> "unknown key $key"
+                    key == OUTAGE || key == LOSE_ANSWERS -> "$key must be true or false".takeUnless { root[key].isBoolean }
+                    else -> "$key must be a whole number of at least 0".takeUnless { root[key].isLimit() }
+                }
+            }
+        return fault?.let { Either.Left(it) } ?: Either.Right(valid(root))
+    }
+
+    private fun valid(root: JsonNode) =
+        LogFaults(
+            outage = root.path(OUTAGE).asBoolean(),
+            delayMs = root.path(DELAY_MS).asLong(),
+            loseAnswers = root.path(LOSE_ANSWERS).asBoolean(),
+            maxAppendsPerS = root.limit(MAX_APPENDS_PER_S),
+            retainRecords = root.limit(RETAIN_RECORDS),
+        )
+
+    private fun JsonNode.isLimit(): Boolean = isNull || (isIntegralNumber && canConvertToInt() && intValue() >= 0)
+
+    private fun JsonNode.limit(key: String): Int? = path(key).takeIf { it.isNumber }?.intValue()
+}
--- /dev/null
+++ b/standins/src/test/kotlin/dev/lycheehill/standins/log/HttpPlatformLogTest.kt
@@ -0,0 +1,104 @@
+package dev.lycheehill.standins.log
+
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.platformlog.LogError
+import dev.lycheehill.platformlog.http.HttpLogSettings
+import dev.lycheehill.platformlog.http.HttpPlatformLog
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlin.concurrent.thread
+
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class HttpPlatformLogTest {
+    /** Guards against an append that is reported as not run although the log may have stored it. */
+    @ParameterizedTest
+    @CsvSource(
+        "429 Too Many Requests, '{}', RATE_LIMITED, NOT_RUN",
+        "503 Service Unavailable, '{}', UNAVAILABLE, NOT_RUN",
+        "413 Content Too Large, '{}', REFUSED, NOT_RUN",
+        "408 Request Timeout, '{}', TIMEOUT, MAY_HAVE_RUN",
+        "500 Internal Server Error, '{}', UNAVAILABLE, MAY_HAVE_RUN",
+        "502 Bad Gateway, '{}', UNAVAILABLE, MAY_HAVE_RUN",
+        "200 OK, '{\"offset\":', UNAVAILABLE, MAY_HAVE_RUN",
+        "200 OK, '{}', UNAVAILABLE, MAY_HAVE_RUN",
+        ", '', UNAVAILABLE, MAY_HAVE_RUN",
+        "silent, '', TIMEOUT, MAY_HAVE_RUN",
+    )
+    fun `each failure of an append has its kind and verdict`(
+        status: String?,
+        body: String,
+        kind: LogError.Kind,
+        verdict: Verdict,
+    ) {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+            thread(isDaemon = true) { answerOnce(server, status, body) }
+            val error = client(server.localPort).append("config", ByteArray(1)).leftOrNull()
+            expectThat(error?.kind to error?.verdict).isEqualTo(kind to verdict)
+        }
+    }
+
+    @Test
+    fun `a refused connection has not run`() {
+        val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        expectThat(client(port).append("config", ByteArray(1)).leftOrNull()?.verdict).isEqualTo(Verdict.NOT_RUN)
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        delimiter = '|',
+        value = [
+            "PUT | /v1/faults | {\"delay_ms\": 5, \"max_appends_per_s\": 9} | 200 | \"delay_ms\":5,\"lose_answers\":false",
+            "PUT | /v1/faults | {\"delay\": 5} | 400 | unknown key delay",
+            "PUT | /v1/faults | {\"delay_ms\": -5} | 400 | delay_ms must be a whole number of at least 0",
+            "GET | /v1/faults | '' | 200 | \"outage\":false",
+            "GET | /v1/streams/a/records?max=0 | '' | 400 | Bad Request",
+            "GET | /v1/streams/a/records?from=x | '' | 400 | Bad Request",
+            "PUT | /v1/streams/a/records | '' | 405 | Method Not Allowed",
+            "GET | /other | '' | 404 | Not Found",
+        ],
+    )
+    fun `the stand-in answers by its protocol`(
+        method: String,
+        path: String,
+        body: String,
+        status: Int,
+        part: String,
+    ) {
+        LogStandIn().start().use { standIn ->
+            val request =
+                HttpRequest
+                    .newBuilder(URI.create("${standIn.baseUri}$path"))
+                    .method(method, HttpRequest.BodyPublishers.ofString(body))
+                    .build()
+            val response = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString())
+            expectThat(response.statusCode()).isEqualTo(status)
+            expectThat(response.body()).contains(part)
+        }
+    }
+
+    private fun client(port: Int) = HttpPlatformLog(HttpLogSettings(URI.create("http://127.0.0.1:$port"), requestTimeoutMs = 300))
+
+    private fun answerOnce(
+        server: ServerSocket,
+        status: String?,
+        body: String,
+    ) = server.accept().use { socket ->
+        socket.getInputStream().read(ByteArray(4_096))
+        if (status == "silent") Thread.sleep(1_000)
+        if (status != null && status != "silent") {
+            val answer = "HTTP/1.1 $status\r\nContent-Length: ${body.length}\r\nConnection: close\r\n\r\n$body"
+            socket.getOutputStream().write(answer.toByteArray())
+        }
+    }
+}
