Correct a row of the caller table

Cause: the row for an answer without a verdict repeated that answer for ever and expected a success after two attempts, which only an answer with a verdict can give; the test failed on each run. Change: the second answer carries the verdict ran; the row still requires a second attempt and that the first answer is no proof of success.

--- a/cli/src/test/kotlin/dev/lycheehill/cli/demo/CallerTest.kt
+++ b/cli/src/test/kotlin/dev/lycheehill/cli/demo/CallerTest.kt
@@ -32,7 +32,7 @@
         "read,  503/not-run/x 200/ran/r1 0,                  SUCCEEDED,      2",
         "read,  504/may-have-run/x 200/ran/r1 0,             SUCCEEDED,      2",
         "read,  500/ran/x,                                   FAILED,         1",
-        "read,  200/-/r1 0,                                  SUCCEEDED,      2",
+        "read,  200/-/r1 0 200/ran/r1 0,                    SUCCEEDED,      2",
         "order, 503/not-run/x 200/ran/r1 0,                  SUCCEEDED,      2",
         "order, 504/may-have-run/x 409/ran/x,                SUCCEEDED,      2",
         "order, 504/may-have-run/x 503/not-run/x,            MAY_HAVE_RUN,   0",
