--- /dev/null
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/ChaosLog.kt
@@ -0,0 +1,81 @@
+package dev.lycheehill.platformlog.publish
+
+import arrow.core.Either
+import arrow.core.left
+import dev.lycheehill.config.log.LogEntry
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.platformlog.LogError
+import dev.lycheehill.platformlog.LogPage
+import dev.lycheehill.platformlog.PlatformLog
+import dev.lycheehill.platformlog.memory.InMemoryPlatformLog
+import dev.lycheehill.platformlog.memory.LogFaults
+import kotlin.random.Random
+
+/** Draws a fault for each call. [trouble] is the share of faulty calls in percent. */
+class ChaosLog(
+    private val simulation: Simulation,
+    private val random: Random,
+    private val trouble: Int,
+) : PlatformLog {
+    private val log = InMemoryPlatformLog(simulation.timers, simulation, CALL_TIMEOUT_MS)
+    val store get() = log.store
+
+    /** Kind of fault that all appends have at the moment, or null. */
+    var phase: Int? = null
+
+    /** Draws the kind of fault for the next seconds. Reads fail in odd phases. */
+    fun nextPhase() {
+        phase = random.nextInt(2 * KINDS).takeIf { it < KINDS }
+    }
+
+    override fun append(
+        stream: String,
+        payload: ByteArray,
+    ): Either<LogError, Long> {
+        simulation.sleep(random.nextLong(MAX_LATENCY_MS))
+        return when (phase ?: random.nextInt(KINDS).takeIf { random.nextInt(100) < trouble }) {
+            null -> call(LogFaults()) { log.append(stream, payload) }
+            0 -> call(LogFaults(outage = true)) { log.append(stream, payload) }
+            1 -> call(LogFaults(maxAppendsPerS = 0)) { log.append(stream, payload) }
+            2 -> call(LogFaults(loseAnswers = true)) { log.append(stream, payload) }
+            3 -> call(LogFaults(delayMs = random.nextLong(40_000))) { log.append(stream, payload) }
+            4 -> LogError(LogError.Kind.TIMEOUT, Verdict.MAY_HAVE_RUN, "lost before the write").left()
+            5 -> throw Crash()
+            else -> {
+                log.append(stream, payload)
+                throw Crash()
+            }
+        }
+    }
+
+    override fun read(
+        stream: String,
+        fromOffset: Long,
+        maxRecords: Int,
+        waitMs: Long,
+    ): Either<LogError, LogPage> {
+        simulation.sleep(random.nextLong(MAX_LATENCY_MS))
+        val faults = if (phase?.rem(2) == 1 || random.nextInt(100) < trouble) LogFaults(outage = true) else LogFaults()
+        return call(faults) { log.read(stream, fromOffset, maxRecords, waitMs) }
+    }
+
+    fun entries(): List<LogEntry> = store.read("config", 0, Int.MAX_VALUE).entries
+
+    // The in-memory log reads its switches when a call begins, before it gives way.
+    private fun <T> call(
+        faults: LogFaults,
+        action: () -> T,
+    ): T {
+        log.faults = faults
+        return action()
+    }
+
+    /** The process of the publisher ends. */
+    class Crash : RuntimeException()
+
+    private companion object {
+        const val KINDS = 7
+        const val CALL_TIMEOUT_MS = 2_000L
+        const val MAX_LATENCY_MS = 30L
+    }
+}
