Reach late landings after crashes in the publish histories

Change: a crash during an append may let the append land up to 20 s later, and phases of faults last up to 15 s.

--- a/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/ChaosLog.kt
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/ChaosLog.kt
@@ -42,7 +42,7 @@
             4 -> LogError(LogError.Kind.TIMEOUT, Verdict.MAY_HAVE_RUN, "lost before the write").left()
             5 -> throw Crash()
             else -> {
-                log.append(stream, payload)
+                simulation.timers.after(random.nextLong(20_000)) { store.append(stream, payload) }
                 throw Crash()
             }
         }
--- a/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/PublishHistoryTest.kt
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/PublishHistoryTest.kt
@@ -92,7 +92,7 @@
             repeat(4) { operator -> simulation.actor { operate(operator) } }
             simulation.actor {
                 repeat(8) {
-                    simulation.sleep(random.nextLong(8_000))
+                    simulation.sleep(random.nextLong(15_000))
                     log.nextPhase()
                 }
                 log.phase = null
