--- a/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/PublishHistoryTest.kt
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/PublishHistoryTest.kt
@@ -4,6 +4,7 @@
 import dev.lycheehill.config.fold.FoldState
 import dev.lycheehill.config.log.DecodedRecord
 import dev.lycheehill.config.log.FenceRecord
+import dev.lycheehill.config.log.HomeEpochRecord
 import dev.lycheehill.config.log.LogEntry
 import dev.lycheehill.config.log.PatchRecord
 import dev.lycheehill.config.log.RecordCodec
@@ -55,6 +56,7 @@
         entries.map { (RecordCodec.decode(it.payload) as DecodedRecord.Known).record }.forEach { record ->
             when (record) {
                 is FenceRecord -> fences += record.patchId
+                is HomeEpochRecord -> error("the histories publish no home epochs")
                 is PatchRecord ->
                     if (record.baseVersion == winners.size.toLong() && record.patchId !in fences) {
                         winners[winners.size + 1L] = record.patchId
