--- a/calls/src/main/kotlin/dev/lycheehill/calls/keys/KeyDomainHome.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/keys/KeyDomainHome.kt
@@ -96,8 +96,8 @@
         if (reply.granted && reply.request.epoch == epoch.number && isMember) vouchers.add(reply.memberId, reply.request)
     }
 
-    /** Whether this node may propose the next epoch. */
-    fun mayPropose(): Boolean = entries.lastOrNull()?.isSealed ?: true
+    /** Whether this node may propose the epoch after [currentEpoch]: the epoch before the current one must be sealed. */
+    fun mayPropose(currentEpoch: Long): Boolean = entries.lastOrNull()?.let { it.epoch.number == currentEpoch && it.isSealed } ?: false
 
     /** Records the complete hand-over of [from] at the start of [epoch]; false if it does not concern this member. */
     internal fun onHandOver(
--- a/calls/src/main/kotlin/dev/lycheehill/calls/keys/KeyedRequests.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/keys/KeyedRequests.kt
@@ -25,7 +25,10 @@
     /** Number of keys held. */
     val size: Int get() = synchronized(this) { table.size }
 
-    /** Takes the next epoch of the log for its domain. */
+    /**
+     * Takes the next epoch of the log for its domain, in order. To be called for each epoch of the domains of which this
+     * node is or was a member, or for which it may propose; others are not needed.
+     */
     @Synchronized
     fun onEpoch(
         epoch: HomeEpoch,
@@ -83,9 +86,15 @@
         homes[reply.request.domain]?.onReply(reply, nowNanos)
     }
 
-    /** Whether this node may propose the next epoch of [domain]. */
+    /**
+     * Whether this node may propose the epoch after [currentEpoch], the current one of [domain] in the log (0 for none). A
+     * node that does not follow the domain by [onEpoch] may not, because it does not know what is sealed.
+     */
     @Synchronized
-    fun mayPropose(domain: String): Boolean = homes[domain]?.mayPropose() ?: true
+    fun mayPropose(
+        domain: String,
+        currentEpoch: Long,
+    ): Boolean = currentEpoch == 0L || homes[domain]?.mayPropose(currentEpoch) ?: false
 
     /** Forgets keys older than the horizon. To be called about once a minute. */
     @Synchronized
--- a/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyFaults.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyFaults.kt
@@ -10,6 +10,7 @@
     val epochEveryMs: Int = 6_000,
     val clientSkewMs: Int = 200,
     val failedAttempts: Double = 0.0,
+    val skippedEpochs: Double = 0.0,
     val settings: KeySettings = KeySettings(),
     val sameBootAfterCrash: Boolean = false,
     val proposeUnsealed: Boolean = false,
@@ -25,10 +26,11 @@
                 epochEveryMs = 4_000,
                 clientSkewMs = 4_000,
                 failedAttempts = 0.3,
+                skippedEpochs = 0.1,
             )
 
         /** Zones are cut off for long, while epochs follow each other closely. */
-        val LONG_PARTITIONS = KeyFaults(loss = 0.1, partitionEveryMs = 15_000, epochEveryMs = 1_500)
+        val LONG_PARTITIONS = KeyFaults(loss = 0.1, partitionEveryMs = 15_000, epochEveryMs = 1_500, skippedEpochs = 0.02)
 
         /** Members crash and pause in large numbers. */
         val STORM = ALL.copy(crashEveryMs = 1_500, pauseEveryMs = 2_000, partitionEveryMs = 0)
--- a/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyHistory.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyHistory.kt
@@ -26,6 +26,9 @@
     /** Runs by key. */
     val runs = HashMap<String, Int>()
 
+    /** Keys of requests that begin long after the faults have ended. */
+    val lateKeys = HashSet<String>()
+
     /** Statements to a caller that the runs contradict. */
     var falseAnswers = 0
         private set
@@ -39,7 +42,9 @@
         occur(faults.partitionEveryMs) { members.forEach { it.group = random.nextInt(2) } }
         if (faults.partitionEveryMs > 0) occur(faults.partitionEveryMs) { members.forEach { it.group = 0 } }
         occur(faults.epochEveryMs) { wanted[any().id] = random.nextInt(4) }
-        repeat(KEYS) { request(random.nextInt(CALLS_UNTIL_MS).toLong()) }
+        repeat(KEYS) { request(random.nextInt(HEAL_MS).toLong()) }
+        at(HEAL_MS.toLong()) { members.forEach { it.heal(nowMs) } }
+        repeat(LATE_KEYS) { at(LATE_MS + random.nextInt(2_000)) { lateRequest() } }
         while (events.isNotEmpty()) {
             val event = events.poll()
             if (event.atMs > END_MS) break
@@ -52,6 +57,7 @@
     private fun tick(member: SimulatedMember) {
         // Group 1 is cut off from the log as well.
         if (member.group == 0) {
+            if (random.nextDouble() < faults.skippedEpochs) member.seenEpochs = maxOf(member.seenEpochs, log.size - 1)
             while (member.seenEpochs < log.size && random.nextInt(4) > 0) {
                 member.requests.onEpoch(log[member.seenEpochs++], member.nowNanos(nowMs))
             }
@@ -90,7 +96,7 @@
     private fun propose(member: SimulatedMember) {
         val last = log.last()
         if (member.seenEpochs != log.size || random.nextInt(10) > 0) return
-        if (!faults.proposeUnsealed && !member.requests.mayPropose(DOMAIN)) return
+        if (!faults.proposeUnsealed && !member.requests.mayPropose(DOMAIN, last.number)) return
         val live = members.filter { it.isUp && it.pausedUntilMs <= nowMs && it.group == 0 }
         val next = live.filter { wanted[it.id] != 0 }.map { HomeMember(it.id, it.bootId, wanted.getValue(it.id)) }
         if (next.isEmpty() || next == last.members) return
@@ -106,13 +112,24 @@
     private fun request(startMs: Long) {
         val minted = SimulatedMember.WALL_MS + startMs + random.nextInt(2 * faults.clientSkewMs + 1) - faults.clientSkewMs
         val tail = "-8000-%012x".format(keys.size)
-        val key = if (random.nextInt(3) > 0) "%012x".format(minted).let { "${it.take(8)}-${it.drop(8)}-7000$tail" } else "key$tail"
+        val key = if (random.nextInt(3) > 0) uuid(minted, tail) else "key$tail"
         keys += key
         at(startMs) { attempt(key, attemptsLeft = 40) }
         // Some callers send the same request twice at once, through different nodes.
         if (random.nextInt(3) == 0) at(startMs + random.nextInt(6_000)) { attempt(key, attemptsLeft = 10) }
     }
 
+    private fun lateRequest() {
+        val key = uuid(SimulatedMember.WALL_MS + nowMs, "-9000-%012x".format(lateKeys.size))
+        lateKeys += key
+        attempt(key, attemptsLeft = 40)
+    }
+
+    private fun uuid(
+        timeMs: Long,
+        tail: String,
+    ): String = "%012x".format(timeMs).let { "${it.take(8)}-${it.drop(8)}-7000$tail" }
+
     private fun attempt(
         key: String,
         attemptsLeft: Int,
@@ -137,7 +154,7 @@
             }
         }
         // The answer is lost, or late.
-        if (faults.loss > 0) at(nowMs + 200 + random.nextInt(2_000)) { retry(random.nextInt(2_000).toLong()) }
+        if (faults.loss > 0 && nowMs < HEAL_MS) at(nowMs + 200 + random.nextInt(2_000)) { retry(random.nextInt(2_000).toLong()) }
     }
 
     private fun refused(
@@ -159,7 +176,7 @@
     ) = at(nowMs + random.nextInt(30)) {
         alive(member, boot) {
             val outcome = random.nextDouble()
-            val verdict = if (outcome < faults.failedAttempts) Verdict.entries[random.nextInt(3)] else Verdict.RAN
+            val verdict = if (outcome < faults.failedAttempts && nowMs < HEAL_MS) Verdict.entries[random.nextInt(3)] else Verdict.RAN
             if (verdict == Verdict.RAN || verdict == Verdict.MAY_HAVE_RUN && random.nextBoolean()) runs.merge(key, 1, Int::plus)
             at(nowMs + random.nextInt(40)) {
                 alive(member, boot) {
@@ -182,12 +199,19 @@
         to: SimulatedMember,
         action: () -> Unit,
     ) {
-        if (from.group != to.group || random.nextDouble() < faults.loss) return
+        if (from.group != to.group || nowMs < HEAL_MS && random.nextDouble() < faults.loss) return
         val boot = to.bootId
         at(nowMs + delayMs()) { alive(to, boot, action) }
     }
 
-    private fun delayMs(): Long = if (random.nextDouble() < faults.slowMessages) random.nextInt(5_000).toLong() else 1L + random.nextInt(10)
+    private fun delayMs(): Long =
+        if (nowMs < HEAL_MS &&
+            random.nextDouble() < faults.slowMessages
+        ) {
+            random.nextInt(5_000).toLong()
+        } else {
+            1L + random.nextInt(10)
+        }
 
     // A paused process does the action when it continues; one that crashed since never does it.
     private fun alive(
@@ -208,9 +232,9 @@
         everyMs: Int,
         action: () -> Unit,
     ) {
-        if (everyMs == 0) return
+        if (everyMs == 0 || nowMs >= HEAL_MS) return
         at(nowMs + 1 + random.nextInt(2 * everyMs)) {
-            action()
+            if (nowMs < HEAL_MS) action()
             occur(everyMs, action)
         }
     }
@@ -242,7 +266,11 @@
         const val DOMAIN = "orders"
         const val MEMBERS = 5
         const val KEYS = 40
-        const val CALLS_UNTIL_MS = 25_000
-        const val END_MS = 45_000L
+        const val HEAL_MS = 25_000
+
+        // The faults end at 25 s. A restart takes up to 4 s, a new epoch 2 s, its activation 3.5 s and its bound 3 s.
+        const val LATE_MS = 42_000L
+        const val LATE_KEYS = 10
+        const val END_MS = 50_000L
     }
 }
--- a/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyHistoryTest.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyHistoryTest.kt
@@ -16,15 +16,21 @@
     internal fun `no keyed request runs twice under faults`(mix: FaultMix) {
         var ran = 0
         val twice = ArrayList<Long>()
+        val notHealed = ArrayList<Long>()
         var falseAnswers = 0
         for (seed in mix.seeds) {
             val history = KeyHistory(seed, mix.faults).play()
             if (history.runs.values.any { it > 1 }) twice += seed
+            if (!history.runs.keys.containsAll(history.lateKeys)) notHealed += seed
             falseAnswers += history.falseAnswers
             ran += history.runs.size
         }
-        println("mix=$mix seeds=${mix.seeds} keys=${40 * mix.seeds.count()} ran=$ran twice=$twice falseAnswers=$falseAnswers")
+        println(
+            "mix=$mix seeds=${mix.seeds} keys=${50 * mix.seeds.count()} ran=$ran twice=$twice falseAnswers=$falseAnswers notHealed=$notHealed",
+        )
         expectThat(twice).isEmpty()
+        // Guards against a domain that stays refused after the faults have ended.
+        expectThat(notHealed).isEmpty()
         expectThat(falseAnswers).isEqualTo(0)
         expectThat(ran).isGreaterThan(0)
     }
@@ -35,7 +41,7 @@
         val missing = ArrayList<Pair<Long, Set<String>>>()
         for (seed in QUIET_SEEDS) {
             val history = KeyHistory(seed, KeyFaults()).play()
-            val bad = history.keys.filter { history.runs[it] != 1 }
+            val bad = (history.keys + history.lateKeys).filter { history.runs[it] != 1 }
             if (bad.isNotEmpty()) missing += seed to bad.toSet()
         }
         println("seeds=$QUIET_SEEDS histories=${QUIET_SEEDS.count()} with keys that did not run once=${missing.size}")
@@ -70,7 +76,7 @@
         val faults: KeyFaults,
     ) {
         NO_WAIT_FOR_THE_LEASE(KeyFaults.ALL.copy(settings = KeySettings(leaseMarginMs = -3_000, clockAllowanceMs = 0, keyAheadMs = 0))),
-        NO_LEASE(KeyFaults.ALL.copy(settings = KeySettings(leaseMs = 60_000, leaseMarginMs = -56_500))),
+        NO_LEASE(KeyFaults.LONG_PARTITIONS.copy(settings = KeySettings(leaseMs = 60_000, leaseMarginMs = -56_500))),
         NO_BOUND(KeyFaults.ALL.copy(settings = KeySettings(clockAllowanceMs = -86_400_000))),
         NO_HORIZON(KeyFaults.ALL.copy(settings = KeySettings(horizonMs = 1_000))),
         KEYS_FROM_THE_FUTURE(KeyFaults.ALL.copy(settings = KeySettings(clockAllowanceMs = -60_000, keyAheadMs = 60_000))),
--- a/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyedRequestsTest.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyedRequestsTest.kt
@@ -108,11 +108,14 @@
             requests.onReply(reply, (atMs + 10) * 1_000_000)
         }
         expectThat(reason(0)).isEqualTo(KeyRefusal.NO_VOUCHERS)
+        expectThat(listOf(0L, 4L, 5L).map { requests.mayPropose("d", it) }).isEqualTo(listOf(true, false, false))
+        expectThat(requests.mayPropose("other", 1)).isEqualTo(false)
         vouch(0, HomeMember("a", 2), seen = 5)
         expectThat(reason(20)).isEqualTo(KeyRefusal.NO_VOUCHERS)
         vouch(1_000, others[0], seen = 5)
         expectThat(reason(1_020)).isEqualTo(KeyRefusal.HOME_CHANGING)
         vouch(2_000, others[1], seen = 5)
+        expectThat(requests.mayPropose("d", 5)).isTrue()
         expectThat(reason(4_999)).isEqualTo(KeyRefusal.HOME_CHANGING)
         expectThat(reason(5_000)).isEqualTo(KeyRefusal.NO_VOUCHERS)
         vouch(6_000, others[0], seen = 5)
@@ -123,6 +126,43 @@
         expectThat(reason(12_001)).isEqualTo(KeyRefusal.NO_VOUCHERS)
     }
 
+    /** Guards against a domain that stays refused when an operator has stated that the old members are gone. */
+    @Test
+    fun `a reset needs no acknowledgements but keeps the wait and the bound`() {
+        val requests = KeyedRequests("n", 1, wall)
+        requests.onEpoch(HomeEpoch("d", 5, listOf(self), listOf(HomeMember("a", 1)), reset = true), 0)
+
+        fun reason(
+            atMs: Long,
+            key: String,
+        ) = (requests.begin("d", key, atMs * 1_000_000, wall + atMs) as? KeyDecision.Refuse)?.reason
+        expectThat(reason(3_499, "k")).isEqualTo(KeyRefusal.HOME_CHANGING)
+        expectThat(reason(3_500, "k")).isEqualTo(KeyRefusal.RECORD_LOST)
+        expectThat(reason(3_500, uuid(wall + 3_500))).isEqualTo(KeyRefusal.RECORD_LOST)
+        expectThat(reason(6_600, uuid(wall + 6_600))).isNull()
+    }
+
+    /** Guards against a hand-over that counts as complete although keys of it are missing. */
+    @Test
+    fun `only all parts of one transfer complete a hand-over`() {
+        val from = HomeMember("a", 1)
+        val requests = KeyedRequests("n", 1, wall)
+        requests.onEpoch(HomeEpoch("d", 5, listOf(self), listOf(from)), 0)
+
+        fun hand(
+            transfer: Long,
+            part: Int,
+            vararg keys: HandedKey,
+        ) = requests.onHandOver(HandOverPart("d", 5, from, self, transfer, part, parts = 2, boundMs = null, keys.toList()))
+        hand(1, 0, HandedKey(KeyHash.of("d", "ran"), ran = true, wall))
+        hand(2, 1, HandedKey(KeyHash.of("d", "unsure"), ran = false, wall))
+        expectThat((requests.decide("new") as KeyDecision.Refuse).reason).isEqualTo(KeyRefusal.HOME_CHANGING)
+        hand(2, 0)
+        expectThat(requests.decide("new")).isA<KeyDecision.Execute>()
+        expectThat((requests.decide("ran") as KeyDecision.Refuse).verdict).isEqualTo(Verdict.RAN)
+        expectThat((requests.decide("unsure") as KeyDecision.Refuse).verdict).isEqualTo(Verdict.MAY_HAVE_RUN)
+    }
+
     /** Guards against lost or mixed up keys in the compact table, by comparing it with a map. */
     @Test
     fun `the table holds what was put into it`() {
--- a/calls/src/test/kotlin/dev/lycheehill/calls/keys/SimulatedMember.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/keys/SimulatedMember.kt
@@ -33,6 +33,12 @@
         isUp = true
     }
 
+    /** Ends a pause and a partition. */
+    fun heal(realMs: Long) {
+        pausedUntilMs = realMs
+        group = 0
+    }
+
     companion object {
         const val WALL_MS = 1_700_000_000_000L
     }
