Check concurrent key requests and concurrent target choice

Cause: classes used by several event loops had no concurrent check apart from admission. Change: four threads begin the same 5,000 keys; four threads pick, finish and update targets. Measured: each key executed once; no call stayed in flight; mvn -pl calls -am verify passes, KeyHistoryTest as before. Conclusion: no fault found.

--- a/calls/src/test/kotlin/dev/lycheehill/calls/balancing/TargetPickerTest.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/balancing/TargetPickerTest.kt
@@ -13,6 +13,7 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNull
+import kotlin.concurrent.thread
 import kotlin.math.abs
 
 class TargetPickerTest {
@@ -153,6 +154,29 @@
         expectThat(remote).isGreaterThan(least - 1e-9).isLessThan(most)
     }
 
+    /** Guards against calls that are counted twice or never, and so against a target that looks busy for ever. */
+    @Test
+    fun `no call stays in flight after concurrent calls and updates`() {
+        val picker = LoadAwarePicker("a", SEED)
+        picker.update(targets(6, remote = 2), 0)
+        val outcomes = AttemptOutcome.entries
+        val workers =
+            List(4) { worker ->
+                thread {
+                    for (index in 1..20_000L) {
+                        val handle = checkNotNull(picker.pick(index * 10_000))
+                        picker.onStart(handle, index * 10_000)
+                        if (index % 1_000 == 0L) picker.update(targets(6 - worker, remote = 2), index * 10_000)
+                        picker.onFinish(handle, index * 10_000 + 5_000, 5_000, outcomes[(index % 7 % 4).toInt()], LoadReport(0))
+                    }
+                }
+            }
+        workers.forEach(Thread::join)
+        picker.update(targets(6, remote = 2), 0)
+        val handles = (0..1_000).mapNotNull { picker.pick(1_000_000_000_000L) as? TargetState }.toSet()
+        expectThat(handles.map { it.own.get() }.toSet()).isEqualTo(setOf(0))
+    }
+
     private companion object {
         const val SEED = 20_261_204L
     }
--- a/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyedRequestsTest.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/keys/KeyedRequestsTest.kt
@@ -12,6 +12,8 @@
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import java.util.Random
+import java.util.concurrent.atomic.AtomicIntegerArray
+import kotlin.concurrent.thread
 
 class KeyedRequestsTest {
     private val wall = 1_700_000_000_000L
@@ -189,6 +191,21 @@
         expectThat(model.all { (key, state) -> table.state(key) == state }).isTrue()
     }
 
+    /** Guards against two event loops that both execute one key. */
+    @Test
+    fun `of concurrent requests with one key one executes`() {
+        val requests = single()
+        val executed = AtomicIntegerArray(5_000)
+        val workers =
+            List(4) {
+                thread {
+                    for (index in 0 until 5_000) if (requests.decide("k$index") is KeyDecision.Execute) executed.incrementAndGet(index)
+                }
+            }
+        workers.forEach(Thread::join)
+        expectThat((0 until 5_000).count { executed[it] != 1 }).isEqualTo(0)
+    }
+
     /** Guards against stored responses that use up the memory of the node. */
     @Test
     fun `stored responses are bounded`() {
