--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/calls/AddedLatencyMeasure.kt
@@ -0,0 +1,78 @@
+package dev.lycheehill.measure.calls
+
+import dev.lycheehill.measure.MeasureResult
+import dev.lycheehill.node.policy.StandardPolicies
+import dev.lycheehill.standins.backend.ServiceTime
+import java.net.InetSocketAddress
+
+/**
+ * Latency of the path over two nodes against a direct call to the same backend server, at 340 calls/s a node.
+ *
+ * The two are measured in turn, several times, so that other work on the machine disturbs both alike.
+ */
+class AddedLatencyMeasure : CallMeasure {
+    override val name = "added-latency"
+
+    override fun run(
+        seed: Long,
+        deployment: CallDeployment,
+        print: (String) -> Unit,
+    ): MeasureResult =
+        CallMesh(deployment, StandardPolicies, seed, targets = 1, callers = 1, shortCalls = SERVICE_TIME).use { mesh ->
+            val backend = mesh.backends.single().address
+            val direct = OpenLoad(listOf(InetSocketAddress("127.0.0.1", backend.substringAfterLast(':').toInt())), seed)
+            val meshed = OpenLoad(mesh.callerAddresses, seed)
+            direct.use { meshed.use { compare(seed, deployment, direct, meshed, print) } }
+        }
+
+    private fun compare(
+        seed: Long,
+        deployment: CallDeployment,
+        direct: OpenLoad,
+        meshed: OpenLoad,
+        print: (String) -> Unit,
+    ): MeasureResult {
+        // The compilers of the JVM need some ten thousand calls.
+        listOf(direct, meshed).forEach { it.run(listOf(LoadStream(CallMesh.READ, WARM_UP_RATE)), WARM_UP_MS) }
+        val ours = LoadTally()
+        val baseline = LoadTally()
+        repeat(ROUNDS) { round ->
+            val directRound = measure(direct)
+            val meshedRound = measure(meshed)
+            baseline.latencies.add(directRound.latencies)
+            ours.latencies.add(meshedRound.latencies)
+            print("round=$round direct ${figures(directRound)} meshed ${figures(meshedRound)}")
+        }
+        val added = ours.percentileMs(P99) - baseline.percentileMs(P99)
+        print("all direct ${figures(baseline)} meshed ${figures(ours)}")
+        print("added p50=%.3f ms p99=%.3f ms".format(ours.percentileMs(P50) - baseline.percentileMs(P50), added))
+        return MeasureResult(
+            name = "$name p99 ms",
+            seed = seed,
+            deployment = deployment.label,
+            ours = ours.percentileMs(P99),
+            baseline = baseline.percentileMs(P99),
+            ratio = ours.percentileMs(P99) / baseline.percentileMs(P99),
+            target = "ours minus direct at most 1 ms",
+            met = added <= TARGET_MS,
+        )
+    }
+
+    private fun measure(load: OpenLoad): LoadTally =
+        load.run(listOf(LoadStream(CallMesh.READ, CALLS_PER_SECOND)), ROUND_MS, warmUpMs = 500).getValue(CallMesh.READ.name)
+
+    private fun figures(tally: LoadTally): String =
+        "p50=%.3f p99=%.3f ms n=%d".format(tally.percentileMs(P50), tally.percentileMs(P99), tally.latencies.totalCount)
+
+    private companion object {
+        val SERVICE_TIME = ServiceTime(0.0, 0.0)
+        const val CALLS_PER_SECOND = 340.0
+        const val WARM_UP_RATE = 3_000.0
+        const val WARM_UP_MS = 8_000L
+        const val ROUND_MS = 5_500L
+        const val ROUNDS = 4
+        const val P50 = 50.0
+        const val P99 = 99.0
+        const val TARGET_MS = 1.0
+    }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/calls/CrestMeasure.kt
@@ -0,0 +1,80 @@
+package dev.lycheehill.measure.calls
+
+import dev.lycheehill.measure.MeasureResult
+import dev.lycheehill.standins.backend.ServiceTime
+
+/** Quality of service while demand rises fivefold within 2 s to 1.25 times the capacity, and stays there. */
+class CrestMeasure : CallMeasure {
+    override val name = "crest"
+
+    override fun run(
+        seed: Long,
+        deployment: CallDeployment,
+        print: (String) -> Unit,
+    ): MeasureResult {
+        val pair =
+            PolicyPair.measure { label, policies ->
+                CallMesh(deployment, policies, seed, shortCalls = SERVICE_TIME).use { mesh ->
+                    OpenLoad(mesh.callerAddresses, seed).use { load -> crest(label, load, mesh.capacity(deployment, MEAN_MS), print) }
+                }
+            }
+        return MeasureResult(
+            name = "$name goodput over capacity",
+            seed = seed,
+            deployment = deployment.label,
+            ours = pair.ours.goodputShare,
+            baseline = pair.baseline.goodputShare,
+            ratio = pair.ours.goodputShare / pair.baseline.goodputShare,
+            target = "high-priority success at least 0.999 and goodput at least 0.95",
+            met = pair.ours.highSuccess >= HIGH_TARGET && pair.ours.goodputShare >= GOODPUT_TARGET,
+        )
+    }
+
+    private fun crest(
+        label: String,
+        load: OpenLoad,
+        capacity: Double,
+        print: (String) -> Unit,
+    ): CrestFigures {
+        val demand = { seconds: Double ->
+            capacity * PEAK * (1 + (FACTOR - 1) * (seconds - BEFORE_S).coerceIn(0.0, RISE_S) / RISE_S) /
+                FACTOR
+        }
+        val streams =
+            listOf(
+                LoadStream(CallMesh.URGENT) { demand(it) * HIGH_SHARE },
+                LoadStream(CallMesh.READ) { demand(it) * (1 - HIGH_SHARE) },
+            )
+        val tallies = load.run(streams, durationMs = DURATION_MS, warmUpMs = ((BEFORE_S + RISE_S) * 1_000).toLong())
+        val high = tallies.getValue("urgent")
+        val normal = tallies.getValue("read")
+        val seconds = DURATION_MS / 1_000.0 - BEFORE_S - RISE_S
+        val figures = CrestFigures((high.succeeded + normal.succeeded) / seconds / capacity, high.successShare)
+        print(
+            "$label high success=%.5f p99=%.1f ms normal success=%.4f p99=%.1f ms goodput=%.4f of %.0f calls/s".format(
+                high.successShare,
+                high.percentileMs(99.0),
+                normal.successShare,
+                normal.percentileMs(99.0),
+                figures.goodputShare,
+                capacity,
+            ),
+        )
+        return figures
+    }
+
+    private companion object {
+        val SERVICE_TIME = ServiceTime(medianMs = 20.0, p99Ms = 30.0)
+
+        // Mean of the log-normal distribution above.
+        const val MEAN_MS = 20.31
+        const val PEAK = 1.25
+        const val FACTOR = 5.0
+        const val BEFORE_S = 5.0
+        const val RISE_S = 2.0
+        const val HIGH_SHARE = 0.2
+        const val DURATION_MS = 17_000L
+        const val HIGH_TARGET = 0.999
+        const val GOODPUT_TARGET = 0.95
+    }
+}
