--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
@@ -12,6 +12,9 @@
     version = ["lycheehill 0.1.0"],
     description = ["Distributes configuration in a service mesh and carries the calls that it routes."],
     subcommands = [
+        DemoCommand::class,
+        BackendCommand::class,
+        StatusCommand::class,
         ShowCommand::class,
         HistoryCommand::class,
         ExplainCommand::class,
