Send announcements and gossip to a slowly changing sample of peers

Cause: with a fresh random peer for each message the links opened and closed connections all the time and lost messages; sorting connections by a time that changes meanwhile also ended the task that closes idle ones.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/link/KtorLink.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/link/KtorLink.kt
@@ -48,7 +48,7 @@
     override fun start(onMessage: (from: PeerAddress, message: PeerMessage) -> Unit) {
         this.onMessage = onMessage
         scope.launch { acceptAll() }
-        scope.launch { closeIdle() }
+        scope.launch { closeIdleRepeatedly() }
     }
 
     override fun send(
@@ -171,16 +171,23 @@
         counters.messagesDropped.addAndGet(connection.close().toLong())
     }
 
-    private suspend fun closeIdle() {
+    private suspend fun closeIdleRepeatedly() {
         while (scope.isActive) {
             delay(IDLE_CHECK_MS)
-            val now = System.nanoTime()
-            open.filter { now - it.receivedAtNanos > settings.idleCloseMs * NANOS_PER_MILLI }.forEach(::close)
-            val excess = open.size - settings.maxConnections
-            if (excess > 0) open.sortedBy { it.receivedAtNanos }.take(excess).forEach(::close)
+            closeIdle()
         }
     }
 
+    private fun closeIdle() {
+        val now = System.nanoTime()
+        open.filter { now - it.receivedAtNanos > settings.idleCloseMs * NANOS_PER_MILLI }.forEach(::close)
+        val excess = open.size - settings.maxConnections
+        if (excess <= 0) return
+        // The times change while they are sorted, so they are read once.
+        val oldest = open.map { it to it.receivedAtNanos }.sortedBy { it.second }.take(excess)
+        oldest.forEach { (connection, _) -> close(connection) }
+    }
+
     companion object {
         private val logger = KotlinLogging.logger {}
         private const val NANOS_PER_MILLI = 1_000_000L
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/link/TlsLink.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/link/TlsLink.kt
@@ -178,7 +178,10 @@
         val now = System.nanoTime()
         open.filter { now - it.receivedAtNanos > TimeUnit.MILLISECONDS.toNanos(settings.idleCloseMs) }.forEach(::close)
         val excess = open.size - settings.maxConnections
-        if (excess > 0) open.sortedBy { it.receivedAtNanos }.take(excess).forEach(::close)
+        if (excess <= 0) return
+        // The times change while they are sorted, so they are read once.
+        val oldest = open.map { it to it.receivedAtNanos }.sortedBy { it.second }.take(excess)
+        oldest.forEach { (connection, _) -> close(connection) }
     }
 
     private inner class Receiver(
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/Membership.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/Membership.kt
@@ -38,6 +38,7 @@
     var refutations: Long = 0
         private set
 
+    private val active = ActivePeers(table, initial.nodeId, initial.zone, random)
     private val rumours = GossipQueue<WireMember> { it.sizeBytes }
     private val facts = GossipQueue<HeldFact> { it.fact.sizeBytes }
     private val budget = ByteBudget(settings.gossipBytesPerSecond)
@@ -125,6 +126,7 @@
         if (nowMs < nextGossipMs) return
         nextGossipMs = nowMs + settings.gossipPeriodMs
         table.expire(nowMs)
+        active.onTick(nowMs)
         repeat(settings.gossipFanout) { gossipOnce(nowMs) }
     }
 
@@ -138,14 +140,8 @@
         return preferred ?: if (outside) randomInOwnZone() else table.randomOutside(self.zone, random)
     }
 
-    /** Up to [count] different other members, the last of them from another zone where there is one. */
-    fun randomPeers(count: Int): Set<MemberRecord> {
-        val peers = LinkedHashSet<MemberRecord>()
-        table.randomOutside(self.zone, random)?.let(peers::add)
-        repeat(count * TRIES) { if (peers.size < count) randomInOwnZone()?.let(peers::add) }
-        repeat(count * TRIES) { if (peers.size < count) table.randomOutside(self.zone, random)?.let(peers::add) }
-        return peers
-    }
+    /** Up to [count] different peers of the active sample, the first of them from another zone where there is one. */
+    fun randomPeers(count: Int): Set<MemberRecord> = active.sample(count)
 
     private fun randomInOwnZone(): MemberRecord? {
         repeat(TRIES) {
@@ -157,7 +153,7 @@
 
     private fun gossipOnce(nowMs: Long) {
         if (rumours.size == 0 && facts.size == 0) return
-        val peer = randomPeer(outsideOneIn = GOSSIP_OUTSIDE_ONE_IN) ?: return
+        val peer = active.one(fromOutside = random.nextInt(GOSSIP_OUTSIDE_ONE_IN) == 0) ?: return
         val available = budget.available(nowMs)
         val members = rumours.take(available, sendLimit())
         val memberBytes = members.sumOf { it.sizeBytes }
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/fleet/ControlBytesMeasure.kt
@@ -0,0 +1,69 @@
+package dev.lycheehill.measure.fleet
+
+import dev.lycheehill.measure.MeasureResult
+import kotlin.random.Random
+
+/** Control bytes of a node and second, sent and received together, at rest, at the planned rate and at ten times of it. */
+class ControlBytesMeasure(
+    private val sizes: List<Int> = listOf(25, 50, 100, 200),
+    private val levels: List<LoadLevel> = LoadLevel.entries,
+) : FleetMeasure {
+    override val name = "control-bytes"
+
+    override fun run(
+        seed: Long,
+        deployment: FleetDeployment,
+        print: (String) -> Unit,
+    ): MeasureResult {
+        print("$name seed=$seed deployment=${deployment.label} sizes=$sizes; bytes sent and received, without TCP and IP headers")
+        val series = sizes.map { it to compare(it, seed, deployment, print) }
+        levels.forEach { level ->
+            val slope = Slope(series.map { (size, uses) -> size.toDouble() to uses.getValue(level).first.bytesPerSecond })
+            print("$name $level slope: %.2f B/s of a node for each node of the fleet".format(slope.perUnit))
+        }
+        val (ours, baseline) = series.last().second.getValue(LoadLevel.PLANNED)
+        return MeasureResult(
+            name = "$name-bytes-per-node-and-second",
+            seed = seed,
+            deployment = deployment.label,
+            ours = ours.bytesPerSecond,
+            baseline = baseline.bytesPerSecond,
+            ratio = ours.bytesPerSecond / baseline.bytesPerSecond,
+            target = "under $TARGET_BYTES B/s a node at the planned rate and ${series.last().first} nodes",
+            met = ours.bytesPerSecond < TARGET_BYTES,
+        )
+    }
+
+    private fun compare(
+        size: Int,
+        seed: Long,
+        deployment: FleetDeployment,
+        print: (String) -> Unit,
+    ): Map<LoadLevel, Pair<UsePerNode, UsePerNode>> {
+        val ours = BlockingLog().let { log -> AgentFleet(size, deployment, log, Random(seed)).use { measure(it, log, seed, SETTLE_MS) } }
+        val baseline = BlockingLog().let { log -> PollingFleet(size, log, Random(seed)).use { measure(it, log, seed, BASELINE_SETTLE_MS) } }
+        levels.forEach { print("$name nodes=$size $it ours ${text(ours.getValue(it))}; baseline ${text(baseline.getValue(it))}") }
+        return levels.associateWith { ours.getValue(it) to baseline.getValue(it) }
+    }
+
+    private fun measure(
+        fleet: MeasuredFleet,
+        log: BlockingLog,
+        seed: Long,
+        settleMs: Long,
+    ): Map<LoadLevel, UsePerNode> {
+        val load = ChangeLoad(PatchSource(log), Random(seed))
+        fleet.start()
+        Thread.sleep(settleMs)
+        return levels.associateWith { level -> UsePerNode.during(fleet, log) { load.run(fleet, level.multiple, level.seconds) } }
+    }
+
+    private fun text(use: UsePerNode): String =
+        "%.0f B/s, %.2f%% of a core, fleet's log reads %.1f/s".format(use.bytesPerSecond, use.coreShare * 100, use.logReadsPerSecond)
+
+    private companion object {
+        const val TARGET_BYTES = 3_000
+        const val SETTLE_MS = 12_000L
+        const val BASELINE_SETTLE_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/fleet/LoadLevel.kt
@@ -0,0 +1,11 @@
+package dev.lycheehill.measure.fleet
+
+/** Rate of changes as a multiple of the planned rate, and for how long it is measured. */
+enum class LoadLevel(
+    val multiple: Double,
+    val seconds: Int,
+) {
+    IDLE(0.0, 10),
+    PLANNED(1.0, 25),
+    TENFOLD(10.0, 10),
+}
