Connect the homes of idempotency keys with the fleet

Cause: module calls decides about keys, but nothing followed the home epochs, exchanged vouchers or proposed epochs. Result: compiles; not on the call path yet.

--- a/calls/src/main/kotlin/dev/lycheehill/calls/keys/HandOverPart.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/keys/HandOverPart.kt
@@ -1,11 +1,14 @@
 package dev.lycheehill.calls.keys
 
+import kotlinx.serialization.Serializable
+
 /**
  * A part of the keys that [from] gives to the new home [to] at the start of [epoch]. [from] has stopped executing them.
  *
  * @property transferId equal for the parts of one transfer; parts of different transfers are not combined.
  * @property boundMs unknown keys not newer than this may have run before [from] was their home; null if there are none.
  */
+@Serializable
 class HandOverPart(
     val domain: String,
     val epoch: Long,
--- a/calls/src/main/kotlin/dev/lycheehill/calls/keys/HomeMember.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/keys/HomeMember.kt
@@ -1,5 +1,7 @@
 package dev.lycheehill.calls.keys
 
+import kotlinx.serialization.Serializable
+
 /**
  * One member of a home epoch.
  *
@@ -7,6 +9,7 @@
  * @property bootId changes with each start of the process, because a restarted process has lost what it promised.
  * @property weight share of the keys; at least 0.
  */
+@Serializable
 data class HomeMember(
     val id: String,
     val bootId: Long,
--- a/calls/src/main/kotlin/dev/lycheehill/calls/keys/KeyHash.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/keys/KeyHash.kt
@@ -1,9 +1,11 @@
 package dev.lycheehill.calls.keys
 
+import kotlinx.serialization.Serializable
 import java.nio.ByteBuffer
 import java.security.MessageDigest
 
 /** First 128 bits of the SHA-256 of an idempotency key and its domain. */
+@Serializable
 data class KeyHash(
     val high: Long,
     val low: Long,
--- a/calls/src/main/kotlin/dev/lycheehill/calls/keys/VoucherReply.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/keys/VoucherReply.kt
@@ -1,10 +1,13 @@
 package dev.lycheehill.calls.keys
 
+import kotlinx.serialization.Serializable
+
 /**
  * Answer of a member. It gives no voucher for an epoch below [seenEpoch] any more.
  *
  * @property granted whether the member vouches for the epoch of the request.
  */
+@Serializable
 data class VoucherReply(
     val request: VoucherRequest,
     val memberId: String,
--- a/calls/src/main/kotlin/dev/lycheehill/calls/keys/VoucherRequest.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/keys/VoucherRequest.kt
@@ -1,11 +1,14 @@
 package dev.lycheehill.calls.keys
 
+import kotlinx.serialization.Serializable
+
 /**
  * Asks a member for a voucher and for the latest epoch it has seen.
  *
  * @property askedNanos monotonic time of the home, which the reply returns.
  * @property askedWallMs wall time of the home, which the reply returns.
  */
+@Serializable
 data class VoucherRequest(
     val domain: String,
     val epoch: Long,
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetAgent.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetAgent.kt
@@ -62,7 +62,7 @@
 
     private val core =
         FleetCore(
-            initial = identity.copy(incarnation = maxOf(identity.incarnation, timers.wallMillis())),
+            initial = identity.copy(incarnation = maxOf(identity.incarnation, timers.wallMillis()), bootId = timers.wallMillis()),
             seeds = seeds,
             settings = settings,
             random = random,
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/MemberRecord.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/MemberRecord.kt
@@ -10,6 +10,7 @@
  * @property controlAddress `ip:port` of the node's link to other nodes.
  * @property dataAddress `ip:port` where the node accepts calls for its target.
  * @property slots calls that the target can run at a time.
+ * @property bootId changes with each start of the node's process, unlike [incarnation], which also rises while it runs.
  */
 @Serializable
 data class MemberRecord(
@@ -22,4 +23,5 @@
     val controlAddress: String,
     val dataAddress: String,
     val slots: Int = 0,
+    val bootId: Long = 0,
 )
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/message/WireMember.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/message/WireMember.kt
@@ -17,6 +17,7 @@
     @SerialName("c") val controlAddress: String,
     @SerialName("d") val dataAddress: String,
     @SerialName("l") val slots: Int = 0,
+    @SerialName("b") val bootId: Long = 0,
 ) {
     /** Estimated encoded size, used for byte budgets. */
     val sizeBytes: Int
@@ -25,14 +26,14 @@
     /** Returns the record, or null when the state is unknown to this release. */
     fun toRecord(): MemberRecord? =
         MemberState.entries.getOrNull(state)?.let {
-            MemberRecord(nodeId, incarnation, it, zone, region, service, controlAddress, dataAddress, slots)
+            MemberRecord(nodeId, incarnation, it, zone, region, service, controlAddress, dataAddress, slots, bootId)
         }
 
     private companion object {
-        const val FIXED_BYTES = 38
+        const val FIXED_BYTES = 49
     }
 }
 
 /** Returns the form of this record that is sent between nodes. */
 fun MemberRecord.toWire(): WireMember =
-    WireMember(nodeId, incarnation, state.ordinal, zone, region, service, controlAddress, dataAddress, slots)
+    WireMember(nodeId, incarnation, state.ordinal, zone, region, service, controlAddress, dataAddress, slots, bootId)
