Add the commands that publish, and run programs

Cause: operators publish, check, compare and revert patches; a mesh by hand needs its programs. Change: publish, check, diff, revert over the log; log and node programs; the demo uses the log stand-in over HTTP and the publisher.

--- a/cli/src/main/kotlin/dev/lycheehill/cli/Main.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/Main.kt
@@ -1,11 +1,13 @@
 package dev.lycheehill.cli
 
+import dev.lycheehill.cli.client.HttpClients
 import dev.lycheehill.cli.command.LycheehillCommand
 import picocli.CommandLine
 import kotlin.system.exitProcess
 
 /** Runs the command line. */
 fun main(args: Array<String>) {
+    HttpClients.allowHostHeader()
     exitProcess(newCommandLine().execute(*args))
 }
 
--- a/cli/src/main/kotlin/dev/lycheehill/cli/client/HttpClients.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/client/HttpClients.kt
@@ -5,8 +5,12 @@
 
 /** Creates all HTTP clients of the command line. */
 object HttpClients {
-    init {
-        // The JDK reads this once, when the first client is created. Callers in the demo set the header Host.
+    /**
+     * Lets requests of this process set the header `Host`, as the callers in the demo do.
+     *
+     * The JDK reads the property once, when the first client of the process is created, so this must come before that.
+     */
+    fun allowHostHeader() {
         System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host")
     }
 
--- /dev/null
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/ChangeCommand.kt
@@ -0,0 +1,52 @@
+package dev.lycheehill.cli.command
+
+import dev.lycheehill.cli.ExitCode
+import dev.lycheehill.cli.output.Json
+import dev.lycheehill.cli.publish.LogHistory
+import dev.lycheehill.platformlog.publish.PublishResult
+import picocli.CommandLine.Mixin
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.ParameterException
+import picocli.CommandLine.Spec
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Callable
+
+/** Base of the commands that read versions from the log. */
+abstract class ChangeCommand : Callable<Int> {
+    @Mixin
+    lateinit var log: LogOption
+
+    @Mixin
+    lateinit var output: OutputOption
+
+    @Spec
+    lateinit var spec: CommandSpec
+
+    /** Runs [action] with the versions of the log; returns [unreachable] when the log does not answer. */
+    protected fun withHistory(
+        unreachable: Int = ExitCode.FAILED,
+        action: (LogHistory) -> Int,
+    ): Int =
+        LogHistory.read(log.client()).fold(
+            {
+                spec.commandLine().err.println("lycheehill: log ${log.address}: ${it.message}")
+                unreachable
+            },
+            action,
+        )
+
+    /** Reads a patch file. */
+    protected fun textOf(file: Path): String {
+        if (!Files.isReadable(file)) throw ParameterException(spec.commandLine(), "cannot read $file")
+        return Files.readString(file)
+    }
+
+    /** Prints [result] and returns its exit code. */
+    protected fun show(result: PublishResult): Int {
+        val out = spec.commandLine().out
+        if (output.json) out.println(Json.document(result)) else out.println(result.message)
+        out.flush()
+        return result.exitCode
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/LogCommand.kt
@@ -0,0 +1,35 @@
+package dev.lycheehill.cli.command
+
+import dev.lycheehill.cli.ExitCode
+import dev.lycheehill.cli.settings.LogSettings
+import dev.lycheehill.platformlog.memory.LogFaults
+import dev.lycheehill.standins.log.LogStandIn
+import io.github.oshai.kotlinlogging.KotlinLogging
+import picocli.CommandLine.Command
+
+/** Runs the stand-in for the platform's log. */
+@Command(
+    name = "log",
+    mixinStandardHelpOptions = true,
+    description = ["Runs a stand-in for the platform's log. It keeps its records in memory."],
+    footer = ["", "Example: lycheehill log --settings docs/examples/log.toml"],
+)
+class LogCommand : ProgramCommand() {
+    override fun call(): Int {
+        val settings = settingsOption.load(spec.commandLine(), LogSettings::parse) ?: return ExitCode.OK
+        val server = LogStandIn(settings.address.host, settings.address.port)
+        server.faults =
+            LogFaults(
+                delayMs = settings.delayMs.toLong(),
+                maxAppendsPerS = settings.maxAppendsPerS,
+                retainRecords = settings.retainRecords,
+            )
+        server.start()
+        logger.info { "started address=${server.baseUri}" }
+        return runUntilSignal(server::close)
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
+}
--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
@@ -13,7 +13,13 @@
     description = ["Distributes configuration in a service mesh and carries the calls that it routes."],
     subcommands = [
         DemoCommand::class,
+        LogCommand::class,
+        NodeCommand::class,
         BackendCommand::class,
+        PublishCommand::class,
+        CheckCommand::class,
+        DiffCommand::class,
+        RevertCommand::class,
         StatusCommand::class,
         ShowCommand::class,
         HistoryCommand::class,
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
@@ -19,7 +19,7 @@
 
     /** Runs all steps. */
     fun run(): DemoReport =
-        DemoLog().use { log ->
+        DemoLog(seed).use { log ->
             DemoMesh(deployment, log.client, seed, watch).use { mesh -> runOn(log, mesh) }
         }
 
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoJournal.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoJournal.kt
@@ -1,7 +1,9 @@
 package dev.lycheehill.cli.demo
 
-import dev.lycheehill.cli.publish.PatchPublisher
-import dev.lycheehill.cli.publish.PublishAnswer
+import dev.lycheehill.platformlog.publish.PatchBase
+import dev.lycheehill.platformlog.publish.PublishRequest
+import dev.lycheehill.platformlog.publish.PublishResult
+import dev.lycheehill.platformlog.publish.Publisher
 import java.util.concurrent.CopyOnWriteArrayList
 
 /** Collects what happened: answers to publications, convergence times and failed checks. Thread-safe. */
@@ -9,15 +11,15 @@
     private val narrator: Narrator,
     private val watch: VersionWatch,
 ) {
-    private val answers = CopyOnWriteArrayList<PublishAnswer>()
+    private val answers = CopyOnWriteArrayList<PublishResult>()
     private val convergence = CopyOnWriteArrayList<Long>()
     private val checks = DemoChecks()
 
     /** Number of accepted versions. */
-    val versionsAccepted: Int get() = answers.count { it is PublishAnswer.InForce || it is PublishAnswer.InForceOnSome }
+    val versionsAccepted: Int get() = answers.count { it is PublishResult.InForce || it is PublishResult.PartlyInForce }
 
     /** Number of patches that were refused and not run. */
-    val patchesRefused: Int get() = answers.count { it is PublishAnswer.Refused }
+    val patchesRefused: Int get() = answers.count { it is PublishResult.Refused }
 
     /** Times from the start of a publication to the version in force on all nodes, in milliseconds. */
     val convergenceMs: List<Long> get() = convergence.sorted()
@@ -38,14 +40,14 @@
 
     /** Publishes [text] and keeps the answer and, when it is accepted, the convergence time. */
     fun published(
-        publisher: PatchPublisher,
+        publisher: Publisher,
         text: String,
-        base: Long,
-    ): PublishAnswer {
+        base: PatchBase?,
+    ): PublishResult {
         val startNanos = System.nanoTime()
-        val answer = publisher.publish(text, base)
+        val answer = publisher.publish(PublishRequest(text = text, author = "demo", base = base))
         answers += answer
-        if (answer is PublishAnswer.InForce) {
+        if (answer is PublishResult.InForce) {
             watch.awaitOnAllNodes(answer.version, startNanos, CONVERGENCE_BOUND_MS)?.let { convergence += it }
         }
         return answer
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoLog.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoLog.kt
@@ -1,109 +1,52 @@
 package dev.lycheehill.cli.demo
 
-import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
-import dev.lycheehill.cli.publish.PatchPublisher
-import dev.lycheehill.cli.publish.PublishAnswer
-import dev.lycheehill.config.fold.PatchOutcome
-import dev.lycheehill.config.fold.outcomeOf
-import dev.lycheehill.config.log.LogEntry
-import dev.lycheehill.config.log.PatchId
-import dev.lycheehill.config.log.PatchRecord
-import dev.lycheehill.config.log.RecordCodec
-import dev.lycheehill.core.Verdict
+import dev.lycheehill.core.time.SystemTimerService
 import dev.lycheehill.fleet.FleetAgent
-import dev.lycheehill.platformlog.LogError
-import dev.lycheehill.platformlog.LogPage
 import dev.lycheehill.platformlog.PlatformLog
+import dev.lycheehill.platformlog.http.HttpLogSettings
+import dev.lycheehill.platformlog.http.HttpPlatformLog
+import dev.lycheehill.platformlog.memory.LogFaults
+import dev.lycheehill.platformlog.publish.FoldStateSource
+import dev.lycheehill.platformlog.publish.InForceCount
+import dev.lycheehill.platformlog.publish.InForceSource
+import dev.lycheehill.platformlog.publish.PublishLimits
+import dev.lycheehill.platformlog.publish.Publisher
+import dev.lycheehill.standins.log.LogStandIn
+import kotlin.random.Random
+
+/** The log stand-in of the demo and the publisher of its operators. */
+class DemoLog(
+    private val seed: Long,
+) : AutoCloseable {
+    private val server = LogStandIn().start()
+    private val timers = SystemTimerService("demo-publisher")
+
+    /** Client of the log over HTTP. */
+    val client: PlatformLog = HttpPlatformLog(HttpLogSettings(server.baseUri))
+
+    /** Returns a publisher that asks the node [agent]. */
+    fun publisher(agent: () -> FleetAgent): Publisher =
+        Publisher(
+            log = client,
+            node = FoldStateSource { agent().foldState() },
+            inForce = InForceSource { version -> inForce(agent(), version) },
+            timers = timers,
+            random = Random(seed),
+            limits = PublishLimits(sendMs = 1_500, searchMs = 1_000, fenceMs = 1_500, inForceMs = 5_000, inForcePollMs = 20),
+        )
+
+    /** Starts or ends an outage. */
+    fun setOutage(on: Boolean) {
+        server.faults = LogFaults(outage = on)
+    }
 
-/** Placeholder log until branch config has the stand-in. */
-class DemoLog :
-    AutoCloseable,
-    LogOutage {
-    private val streams = HashMap<String, MutableList<ByteArray>>()
-
-    @Volatile private var outage = false
-
-    val client: PlatformLog =
-        object : PlatformLog {
-            override fun append(
-                stream: String,
-                payload: ByteArray,
-            ): Either<LogError, Long> =
-                if (outage) {
-                    LogError(LogError.Kind.UNAVAILABLE, Verdict.NOT_RUN, "outage").left()
-                } else {
-                    synchronized(streams) {
-                        streams
-                            .getOrPut(stream) { mutableListOf() }
-                            .let {
-                                it += payload
-                                it.size - 1L
-                            }.right()
-                    }
-                }
-
-            override fun read(
-                stream: String,
-                fromOffset: Long,
-                maxRecords: Int,
-                waitMs: Long,
-            ): Either<LogError, LogPage> {
-                val end = System.nanoTime() + waitMs * 1_000_000
-                while (true) {
-                    if (outage) return LogError(LogError.Kind.UNAVAILABLE, Verdict.NOT_RUN, "outage").left()
-                    val page =
-                        synchronized(streams) {
-                            val all = streams.getOrPut(stream) { mutableListOf() }
-                            LogPage(
-                                all
-                                    .withIndex()
-                                    .drop(fromOffset.toInt())
-                                    .take(maxRecords)
-                                    .map { LogEntry(it.index.toLong(), it.value) },
-                                0,
-                                all.size.toLong(),
-                            )
-                        }
-                    if (page.entries.isNotEmpty() || System.nanoTime() >= end) return page.right()
-                    Thread.sleep(2)
-                }
-            }
-        }
-
-    fun publisher(agent: () -> FleetAgent) =
-        PatchPublisher { text, base ->
-            val state = agent().foldState()
-            if (state.version != base) return@PatchPublisher PublishAnswer.Refused("never sent: version is ${state.version}")
-            val record = PatchRecord.of(base, state.contentHash, text)
-            if (client.append("config", RecordCodec.encode(record)).isLeft()) return@PatchPublisher PublishAnswer.Refused("never sent")
-            val id = PatchId.parse(record.patchId)!!
-            DemoMesh.await(5_000) { agent().foldState().outcomeOf(id) != PatchOutcome.NotKnownYet }
-            when (val outcome = agent().foldState().outcomeOf(id)) {
-                is PatchOutcome.Accepted -> {
-                    var report = agent().inForce(outcome.version)
-                    val end = System.nanoTime() + 5_000_000_000
-                    while (report.nodesInForce < report.nodes &&
-                        System.nanoTime() < end
-                    ) {
-                        Thread.sleep(20)
-                        report = agent().inForce(outcome.version)
-                    }
-                    if (report.nodesInForce == report.nodes) {
-                        PublishAnswer.InForce(outcome.version, report.nodes)
-                    } else {
-                        PublishAnswer.InForceOnSome(outcome.version, report.nodes, report.nodesInForce, report.laggingZones)
-                    }
-                }
-                is PatchOutcome.Refused -> PublishAnswer.Refused(outcome.reason)
-                else -> PublishAnswer.NotKnown(record.patchId, "time is up")
-            }
-        }
-
-    override fun set(on: Boolean) {
-        outage = on
+    override fun close() {
+        server.close()
+        timers.close()
     }
 
-    override fun close() = Unit
+    private fun inForce(
+        agent: FleetAgent,
+        version: Long,
+    ): InForceCount = agent.inForce(version).let { InForceCount(it.nodes, it.nodesInForce, it.laggingZones) }
 }
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoScript.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoScript.kt
@@ -1,16 +1,18 @@
 package dev.lycheehill.cli.demo
 
 import dev.lycheehill.cli.ExitCode
-import dev.lycheehill.cli.publish.PatchPublisher
-import dev.lycheehill.cli.publish.PublishAnswer
+import dev.lycheehill.config.fold.FoldState
+import dev.lycheehill.platformlog.publish.PatchBase
+import dev.lycheehill.platformlog.publish.PublishResult
+import dev.lycheehill.platformlog.publish.Publisher
 import java.util.concurrent.CompletableFuture
 
 /** The steps of the demo in order. Each prints one line and checks what it promises. */
 class DemoScript(
     private val deployment: Deployment,
     private val mesh: DemoMesh,
-    private val publisher: PatchPublisher,
-    private val outage: LogOutage,
+    private val publisher: Publisher,
+    private val log: DemoLog,
     private val tally: LoadTally,
     private val journal: DemoJournal,
 ) {
@@ -18,35 +20,35 @@
 
     /** Publishes the services and routes. */
     fun publishFirstVersion() {
-        val answer = journal.published(publisher, patches.initial(), base = 0)
-        journal.check("the first version is in force on all nodes", answer is PublishAnswer.InForce)
-        journal.say("published services and routes: ${answer.text}")
+        val answer = journal.published(publisher, patches.initial(), base())
+        journal.check("the first version is in force on all nodes", answer is PublishResult.InForce)
+        journal.say("published services and routes: ${answer.message}")
     }
 
     /** Changes a route while calls run. */
     fun changeRoute() {
-        val answer = journal.published(publisher, patches.readTimeout(READ_TIMEOUT_MS), base = version())
-        journal.check("the route change is in force on all nodes", answer is PublishAnswer.InForce)
-        journal.say("published a route change: ${answer.text}")
+        val answer = journal.published(publisher, patches.readTimeout(READ_TIMEOUT_MS), base())
+        journal.check("the route change is in force on all nodes", answer is PublishResult.InForce)
+        journal.say("published a route change: ${answer.message}")
     }
 
     /** Publishes two patches against one base at the same time. */
     fun race() {
-        val base = version()
+        val base = base()
         val texts = listOf(patches.readTimeout(RACE_TIMEOUT_MS), patches.serviceTimeout(RACE_TIMEOUT_MS))
         val answers = texts.map { text -> CompletableFuture.supplyAsync { journal.published(publisher, text, base) } }.map { it.join() }
-        val accepted = answers.filterIsInstance<PublishAnswer.InForce>()
-        val refused = answers.filterIsInstance<PublishAnswer.Refused>()
+        val accepted = answers.filterIsInstance<PublishResult.InForce>()
+        val refused = answers.filterIsInstance<PublishResult.Refused>()
         journal.check("of two patches against one base one is accepted and one refused", accepted.size == 1 && refused.size == 1)
-        journal.say("raced two patches against version $base: ${answers.joinToString(" | ") { it.text }}")
+        journal.say("raced two patches against version ${base.version}: ${answers.joinToString(" | ") { it.message }}")
     }
 
     /** Publishes a patch with a route to a service that does not exist. */
     fun publishBadPatch() {
         val before = version()
-        val answer = journal.published(publisher, patches.toMissingService(), before)
-        journal.check("a bad patch is refused and changes nothing", answer is PublishAnswer.Refused && version() == before)
-        journal.say("published a bad patch: ${answer.text}")
+        val answer = journal.published(publisher, patches.toMissingService(), base())
+        journal.check("a bad patch is refused and changes nothing", answer is PublishResult.Refused && version() == before)
+        journal.say("published a bad patch: ${answer.message}")
     }
 
     /** Drains one target and checks that it gets no new work after the bound and that nothing is cut. */
@@ -78,23 +80,27 @@
 
     /** Cuts the log off for some seconds and publishes meanwhile. */
     fun cutLog() {
-        val before = version()
+        val before = base()
         val sentBefore = tally.count(RequestOutcome.SUCCEEDED)
-        outage.set(true)
+        log.setOutage(true)
         val text = patches.readTimeout(OUTAGE_TIMEOUT_MS)
-        val during = journal.published(publisher, text, before)
+        val during = journal.published(publisher, text, base = null)
         Thread.sleep(OUTAGE_MS)
         val succeeded = tally.count(RequestOutcome.SUCCEEDED) - sentBefore
-        outage.set(false)
+        log.setOutage(false)
         journal.check("during a log outage no patch is reported as accepted", during.exitCode in OUTAGE_EXIT_CODES)
-        journal.check("calls continue during a log outage", succeeded > 0 && version() == before)
-        journal.say("cut the log off: $succeeded requests succeeded meanwhile; a patch was ${during.text}")
+        journal.check("calls continue during a log outage", succeeded > 0 && version() == before.version)
+        journal.say("cut the log off: $succeeded requests succeeded meanwhile; a patch was ${during.message}")
         val after = journal.published(publisher, text, before)
-        journal.check("the patch is accepted after the outage", after is PublishAnswer.InForce)
-        journal.say("log is back, same patch again: ${after.text}")
+        journal.check("the patch is accepted after the outage", after is PublishResult.InForce)
+        journal.say("log is back, same patch again: ${after.message}")
     }
 
-    private fun version(): Long = mesh.live.maxOf { it.agent.foldState().version }
+    private fun version(): Long = newest().version
+
+    private fun base(): PatchBase = newest().let { PatchBase(it.version, it.contentHash) }
+
+    private fun newest(): FoldState = mesh.live.map { it.agent.foldState() }.maxBy { it.version }
 
     private companion object {
         const val READ_TIMEOUT_MS = 1_800
--- a/cli/src/test/kotlin/dev/lycheehill/cli/demo/CallerTest.kt
+++ b/cli/src/test/kotlin/dev/lycheehill/cli/demo/CallerTest.kt
@@ -20,6 +20,10 @@
     private val keys = CopyOnWriteArrayList<String>()
     private val address get() = "127.0.0.1:${server.address.port}"
 
+    init {
+        HttpClients.allowHostHeader()
+    }
+
     @AfterEach
     fun stop() {
         server.stop(0)
