--- a/node/src/main/kotlin/dev/lycheehill/node/routing/Router.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/routing/Router.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.config.fold.FoldState
 import dev.lycheehill.config.model.ConfigContent
 import dev.lycheehill.config.model.Route
+import dev.lycheehill.config.route.RouteTable
 import dev.lycheehill.node.http.InboundCall
 import io.netty.handler.codec.http.HttpHeaderNames
 import java.util.SplittableRandom
@@ -29,10 +30,18 @@
         return RouteDecision(state.version, route, service)
     }
 
-    private fun tableOf(content: ConfigContent): Compiled {
+    /** Returns the route of a request in [state], or null when none matches. */
+    fun match(
+        state: FoldState,
+        host: String,
+        path: String,
+        method: String,
+    ): Route? = tableOf(state.content).match(host, path, method)
+
+    private fun tableOf(content: ConfigContent): RouteTable {
         val current = compiled
-        if (current.content === content) return current
-        return Compiled(content).also { compiled = it }
+        if (current.content === content) return current.table
+        return Compiled(content).also { compiled = it }.table
     }
 
     private fun chooseService(
@@ -51,28 +60,6 @@
     private class Compiled(
         val content: ConfigContent,
     ) {
-        private val ordered =
-            content.routes.values.sortedWith(
-                compareBy<Route> { it.host == "*" }
-                    .thenByDescending { it.pathPrefix.length }
-                    .thenBy { it.methods.isEmpty() }
-                    .thenBy { it.name },
-            )
-
-        fun match(
-            host: String,
-            path: String,
-            method: String,
-        ): Route? =
-            ordered.firstOrNull {
-                (it.host == "*" || it.host.equals(host, ignoreCase = true)) &&
-                    (it.methods.isEmpty() || method in it.methods) &&
-                    covers(it.pathPrefix, path)
-            }
-
-        private fun covers(
-            prefix: String,
-            path: String,
-        ): Boolean = path.startsWith(prefix) && (prefix.endsWith("/") || path.length == prefix.length || path[prefix.length] == '/')
+        val table: RouteTable = RouteTable.of(content)
     }
 }
