Hash configurations without synchronized streams

Cause: with 6,400 services and as many routes, a trial spent 13.4 ms of 14.5 ms for each patch in the content hash. Change: HashWriter feeds the digest from one buffer; entries are sorted as a list instead of copied to a tree map.

--- a/config/src/main/kotlin/dev/lycheehill/config/model/ContentHash.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/model/ContentHash.kt
@@ -1,9 +1,5 @@
 package dev.lycheehill.config.model
 
-import dev.lycheehill.config.log.Sha256
-import java.io.ByteArrayOutputStream
-import java.io.DataOutputStream
-
 /**
  * Canonical hash of a configuration. It does not depend on the order of entries.
  *
@@ -13,43 +9,41 @@
 object ContentHash {
     /** Returns the SHA-256 of [content] in hex digits. */
     fun of(content: ConfigContent): String {
-        val bytes = ByteArrayOutputStream()
-        DataOutputStream(bytes).use { out ->
-            out.section(content.services) { writeService(it) }
-            out.section(content.routes) { writeRoute(it) }
-        }
-        return Sha256.hex(bytes.toByteArray())
+        val writer = HashWriter()
+        writer.section(content.services) { service(it) }
+        writer.section(content.routes) { route(it) }
+        return writer.finish()
     }
 
-    private fun <T> DataOutputStream.section(
+    private fun <T> HashWriter.section(
         entries: Map<String, T>,
-        write: DataOutputStream.(T) -> Unit,
+        write: HashWriter.(T) -> Unit,
     ) {
-        writeInt(entries.size)
-        entries.toSortedMap().forEach { (name, entry) ->
-            writeUTF(name)
+        number(entries.size)
+        entries.entries.sortedBy { it.key }.forEach { (name, entry) ->
+            text(name)
             write(entry)
         }
     }
 
-    private fun DataOutputStream.writeService(service: Service) {
-        writeInt(service.timeoutMs)
-        writeInt(service.maxInFlightPerTarget)
-        writeInt(service.maxQueue)
-        writeInt(service.hedgePercent)
+    private fun HashWriter.service(service: Service) {
+        number(service.timeoutMs)
+        number(service.maxInFlightPerTarget)
+        number(service.maxQueue)
+        number(service.hedgePercent)
     }
 
-    private fun DataOutputStream.writeRoute(route: Route) {
-        writeUTF(route.host)
-        writeUTF(route.pathPrefix)
-        writeInt(route.methods.size)
-        route.methods.sorted().forEach(::writeUTF)
-        section(route.weights) { writeInt(it) }
-        writeUTF(route.priority.name)
-        writeUTF(route.idempotent?.toString().orEmpty())
-        writeInt(route.timeoutMs ?: -1)
-        writeInt(route.maxAttempts)
-        writeUTF(route.cost.name)
-        writeUTF(route.keyDomain.orEmpty())
+    private fun HashWriter.route(route: Route) {
+        text(route.host)
+        text(route.pathPrefix)
+        number(route.methods.size)
+        route.methods.sorted().forEach(::text)
+        section(route.weights) { number(it) }
+        text(route.priority.name)
+        text(route.idempotent?.toString().orEmpty())
+        number(route.timeoutMs ?: -1)
+        number(route.maxAttempts)
+        text(route.cost.name)
+        text(route.keyDomain.orEmpty())
     }
 }
