--- a/config/src/test/kotlin/dev/lycheehill/config/fold/ConfigFoldTest.kt
+++ b/config/src/test/kotlin/dev/lycheehill/config/fold/ConfigFoldTest.kt
@@ -4,8 +4,10 @@
 import dev.lycheehill.config.log.PatchId
 import dev.lycheehill.config.log.PatchRecord
 import dev.lycheehill.config.log.RecordCodec
+import org.junit.jupiter.api.Named.named
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments.arguments
 import org.junit.jupiter.params.provider.MethodSource
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -23,9 +25,12 @@
     /** Guards against a refused record that changes the version, or one whose outcome is answered wrongly. */
     @ParameterizedTest(name = "{0}")
     @MethodSource("refused")
-    fun `a refused patch changes nothing and is answered as refused`(case: RefusedCase) {
+    fun `a refused patch changes nothing and is answered as refused`(
+        prepare: (LogBuilder) -> PatchRecord,
+        expected: String,
+    ) {
         val log = LogBuilder().append(LogBuilder().patch(service("a")))
-        val record = case.prepare(log)
+        val record = prepare(log)
         val before = log.state
         log.append(record)
         expectThat(log.state) {
@@ -35,7 +40,7 @@
             get { outcomeOf(PatchId.parse(record.patchId)!!) }
                 .isA<PatchOutcome.Refused>()
                 .get { reason }
-                .startsWith(case.reason)
+                .startsWith(expected)
         }
     }
 
@@ -232,14 +237,6 @@
             name: String,
             reason: String,
             prepare: (LogBuilder) -> PatchRecord,
-        ) = RefusedCase(name, reason, prepare)
-    }
-
-    class RefusedCase(
-        private val name: String,
-        val reason: String,
-        val prepare: (LogBuilder) -> PatchRecord,
-    ) {
-        override fun toString(): String = name
+        ) = arguments(named(name, prepare), reason)
     }
 }
--- a/config/src/test/kotlin/dev/lycheehill/config/snapshot/SnapshotTest.kt
+++ b/config/src/test/kotlin/dev/lycheehill/config/snapshot/SnapshotTest.kt
@@ -8,8 +8,10 @@
 import dev.lycheehill.config.home.HomeAssignment
 import dev.lycheehill.config.log.LogEntry
 import kotlinx.collections.immutable.toPersistentMap
+import org.junit.jupiter.api.Named.named
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments.arguments
 import org.junit.jupiter.params.provider.MethodSource
 import strikt.api.expectThat
 import strikt.assertions.all
@@ -38,12 +40,15 @@
     /** Guards against a node that adopts a state put together from damaged or foreign parts. */
     @ParameterizedTest
     @MethodSource("damages")
-    fun `damaged parts are refused`(damage: Damage) {
+    fun `damaged parts are refused`(
+        expected: SnapshotError?,
+        change: (List<ByteArray>, List<ByteArray>) -> List<ByteArray>,
+    ) {
         val parts = encode(state(40))
         val other = encode(state(41))
-        val decoded = damage.change(parts, other).map { SnapshotCodec.decodePart(it) }
+        val decoded = change(parts, other).map { SnapshotCodec.decodePart(it) }
         val result = if (null in decoded) null else SnapshotCodec.join(decoded.filterNotNull()).leftOrNull()
-        expectThat(result).isEqualTo(damage.expected)
+        expectThat(result).isEqualTo(expected)
     }
 
     @Test
@@ -67,8 +72,12 @@
     /** Guards against a node that returns to an older version, or that follows a different log. */
     @ParameterizedTest
     @MethodSource("restores")
-    fun `a snapshot is applied only when it extends the own state`(case: RestoreCase) {
-        expectThat(SnapshotRestore.apply(case.current, Snapshot(case.offered)).leftOrNull()).isEqualTo(case.expected)
+    fun `a snapshot is applied only when it extends the own state`(
+        current: FoldState,
+        offered: FoldState,
+        expected: SnapshotError?,
+    ) {
+        expectThat(SnapshotRestore.apply(current, Snapshot(offered)).leftOrNull()).isEqualTo(expected)
     }
 
     @Test
@@ -82,23 +91,6 @@
         expectThat(log.append(log.patch(service("s10", 10))).state.version).isEqualTo(10)
     }
 
-    class Damage(
-        private val name: String,
-        val expected: SnapshotError?,
-        val change: (List<ByteArray>, List<ByteArray>) -> List<ByteArray>,
-    ) {
-        override fun toString(): String = name
-    }
-
-    data class RestoreCase(
-        val name: String,
-        val current: FoldState,
-        val offered: FoldState,
-        val expected: SnapshotError?,
-    ) {
-        override fun toString(): String = name
-    }
-
     private fun encode(state: FoldState): List<ByteArray> = SnapshotCodec.encode(Snapshot(state)).getOrNull()!!
 
     companion object {
@@ -124,29 +116,34 @@
         @JvmStatic
         fun damages() =
             listOf(
-                Damage("no part", SnapshotError.INCOMPLETE) { _, _ -> emptyList() },
-                Damage("a missing part", SnapshotError.INCOMPLETE) { parts, _ -> parts.drop(1) },
-                Damage("a part twice", SnapshotError.INCOMPLETE) { parts, _ -> parts + parts[0] },
-                Damage("a part of another snapshot", SnapshotError.MIXED) { parts, other -> parts.dropLast(1) + other.last() },
-                Damage("a flipped bit", SnapshotError.CORRUPT) { parts, _ ->
+                damage("no part", SnapshotError.INCOMPLETE) { _, _ -> emptyList() },
+                damage("a missing part", SnapshotError.INCOMPLETE) { parts, _ -> parts.drop(1) },
+                damage("a part twice", SnapshotError.INCOMPLETE) { parts, _ -> parts + parts[0] },
+                damage("a part of another snapshot", SnapshotError.MIXED) { parts, other -> parts.dropLast(1) + other.last() },
+                damage("a flipped bit", SnapshotError.CORRUPT) { parts, _ ->
                     listOf(parts[0], parts[1].clone().also { it[90_000] = (it[90_000] + 1).toByte() }, parts[2])
                 },
-                Damage("a truncated part", null) { parts, _ -> listOf(parts[0], parts[1].copyOf(500), parts[2]) },
-                Damage("bytes that are no part", null) { parts, _ -> parts + ByteArray(20) },
+                damage("a truncated part", null) { parts, _ -> listOf(parts[0], parts[1].copyOf(500), parts[2]) },
+                damage("bytes that are no part", null) { parts, _ -> parts + ByteArray(20) },
             )
 
+        private fun damage(
+            name: String,
+            expected: SnapshotError?,
+            change: (List<ByteArray>, List<ByteArray>) -> List<ByteArray>,
+        ) = arguments(expected, named(name, change))
+
         @JvmStatic
         fun restores() =
             listOf(
-                RestoreCase("ahead", state(5), state(6), null),
-                RestoreCase("ahead of the initial state", FoldState.initial(), state(6), null),
-                RestoreCase("behind", state(5), state(4), SnapshotError.OLDER),
-                RestoreCase("equal", state(5), state(5), SnapshotError.OLDER),
-                RestoreCase("equal offset, other records", state(5), state(5, firstTimeoutMs = 9), SnapshotError.DIVERGED),
-                RestoreCase("ahead with another first version", state(5), state(6, firstTimeoutMs = 9), SnapshotError.DIVERGED),
-                RestoreCase(
-                    "ahead with a lower version",
-                    state(5),
+                arguments(named("ahead", state(5)), state(6), null),
+                arguments(named("ahead of the initial state", FoldState.initial()), state(6), null),
+                arguments(named("behind", state(5)), state(4), SnapshotError.OLDER),
+                arguments(named("equal", state(5)), state(5), SnapshotError.OLDER),
+                arguments(named("equal offset, other records", state(5)), state(5, firstTimeoutMs = 9), SnapshotError.DIVERGED),
+                arguments(named("ahead with another first version", state(5)), state(6, firstTimeoutMs = 9), SnapshotError.DIVERGED),
+                arguments(
+                    named("ahead with a lower version", state(5)),
                     LogBuilder(state(4)).append(ByteArray(1)).append(ByteArray(1)).state,
                     SnapshotError.DIVERGED,
                 ),
--- a/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/ChaosLog.kt
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/ChaosLog.kt
@@ -34,11 +34,11 @@
     ): Either<LogError, Long> {
         simulation.sleep(random.nextLong(MAX_LATENCY_MS))
         return when (phase ?: random.nextInt(KINDS).takeIf { random.nextInt(100) < trouble }) {
-            null -> call(LogFaults()) { log.append(stream, payload) }
-            0 -> call(LogFaults(outage = true)) { log.append(stream, payload) }
-            1 -> call(LogFaults(maxAppendsPerS = 0)) { log.append(stream, payload) }
-            2 -> call(LogFaults(loseAnswers = true)) { log.append(stream, payload) }
-            3 -> call(LogFaults(delayMs = random.nextLong(40_000))) { log.append(stream, payload) }
+            null -> append(LogFaults(), stream, payload)
+            0 -> append(LogFaults(outage = true), stream, payload)
+            1 -> append(LogFaults(maxAppendsPerS = 0), stream, payload)
+            2 -> append(LogFaults(loseAnswers = true), stream, payload)
+            3 -> append(LogFaults(delayMs = random.nextLong(40_000)), stream, payload)
             4 -> LogError(LogError.Kind.TIMEOUT, Verdict.MAY_HAVE_RUN, "lost before the write").left()
             5 -> throw Crash()
             else -> {
@@ -55,21 +55,22 @@
         waitMs: Long,
     ): Either<LogError, LogPage> {
         simulation.sleep(random.nextLong(MAX_LATENCY_MS))
-        val faults = if (phase?.rem(2) == 1 || random.nextInt(100) < trouble) LogFaults(outage = true) else LogFaults()
-        return call(faults) { log.read(stream, fromOffset, maxRecords, waitMs) }
+        log.faults = if (phase?.rem(2) == 1 || random.nextInt(100) < trouble) LogFaults(outage = true) else LogFaults()
+        return log.read(stream, fromOffset, maxRecords, waitMs)
     }
 
-    fun entries(): List<LogEntry> = store.read("config", 0, Int.MAX_VALUE).entries
-
-    // The in-memory log reads its switches when a call begins, before it gives way.
-    private fun <T> call(
+    // The in-memory log reads its switches when an append begins, before it gives way.
+    private fun append(
         faults: LogFaults,
-        action: () -> T,
-    ): T {
+        stream: String,
+        payload: ByteArray,
+    ): Either<LogError, Long> {
         log.faults = faults
-        return action()
+        return log.append(stream, payload)
     }
 
+    fun entries(): List<LogEntry> = store.read("config", 0, Int.MAX_VALUE).entries
+
     /** The process of the publisher ends. */
     class Crash : RuntimeException()
 
--- a/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/PublisherTest.kt
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/PublisherTest.kt
@@ -6,9 +6,11 @@
 import dev.lycheehill.config.log.RecordCodec
 import dev.lycheehill.config.log.Streams
 import dev.lycheehill.platformlog.memory.LogFaults
+import org.junit.jupiter.api.Named.named
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments.arguments
 import org.junit.jupiter.params.provider.MethodSource
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -28,13 +30,17 @@
     /** Guards against an answer that contradicts the log, and against a patch that runs twice. */
     @ParameterizedTest
     @MethodSource("cases")
-    fun `a publish under a fault of the log answers what the log proves`(case: Case) {
-        case.prepare(fixture)
+    fun `a publish under a fault of the log answers what the log proves`(
+        expected: KClass<out PublishResult>,
+        runs: Boolean,
+        prepare: PublishFixture.() -> Unit,
+    ) {
+        fixture.prepare()
         val startedNanos = fixture.timers.nowNanos()
         val result = fixture.publish()
         val limits = PublishLimits()
         val limitMs = limits.sendMs + limits.fenceMs + 2 * (limits.searchMs + CALL_TIMEOUT_MS) + limits.inForceMs
-        expectThat(result).get { this::class }.isEqualTo(case.expected)
+        expectThat(result).get { this::class }.isEqualTo(expected)
         expectThat((fixture.timers.nowNanos() - startedNanos) / 1_000_000).isLessThanOrEqualTo(limitMs)
         fixture.timers.advance(60_000)
         val versions =
@@ -42,7 +48,7 @@
                 .folded()
                 .history.values
                 .count { it == PatchId.of(0, FoldState.initial().contentHash, request.text).value }
-        expectThat(versions).isEqualTo(if (case.runs) 1 else 0)
+        expectThat(versions).isEqualTo(if (runs) 1 else 0)
     }
 
     @Test
@@ -116,64 +122,62 @@
         expectThat(fixture.folded().nextOffset).isEqualTo(0)
     }
 
-    class Case(
-        private val name: String,
-        val expected: KClass<out PublishResult>,
-        val runs: Boolean,
-        val prepare: PublishFixture.() -> Unit,
-    ) {
-        override fun toString(): String = name
-    }
-
     companion object {
         private const val CALL_TIMEOUT_MS = 2_000L
         private val inForce = PublishResult.InForce::class
         private val refused = PublishResult.Refused::class
         private val notKnown = PublishResult.NotKnownYet::class
 
+        private fun case(
+            name: String,
+            expected: KClass<out PublishResult>,
+            runs: Boolean,
+            prepare: PublishFixture.() -> Unit,
+        ) = arguments(expected, runs, named(name, prepare))
+
         @JvmStatic
         fun cases() =
             listOf(
-                Case("no fault", inForce, runs = true) {},
-                Case("an outage", refused, runs = false) { log.faults = LogFaults(outage = true) },
-                Case("an outage that ends", inForce, runs = true) { fault(LogFaults(outage = true), durationMs = 2_000) },
-                Case("lost answers", inForce, runs = true) { log.faults = LogFaults(loseAnswers = true) },
-                Case("lost answers and slow calls", inForce, runs = true) {
+                case("no fault", inForce, runs = true) {},
+                case("an outage", refused, runs = false) { log.faults = LogFaults(outage = true) },
+                case("an outage that ends", inForce, runs = true) { fault(LogFaults(outage = true), durationMs = 2_000) },
+                case("lost answers", inForce, runs = true) { log.faults = LogFaults(loseAnswers = true) },
+                case("lost answers and slow calls", inForce, runs = true) {
                     log.faults = LogFaults(loseAnswers = true, delayMs = 300)
                 },
-                Case("appends that land late", inForce, runs = true) { fault(LogFaults(delayMs = 3_000), durationMs = 4_000) },
-                Case("appends that land after all limits", notKnown, runs = true) { log.faults = LogFaults(delayMs = 30_000) },
-                Case("a first append that lands after the second", inForce, runs = true) {
+                case("appends that land late", inForce, runs = true) { fault(LogFaults(delayMs = 3_000), durationMs = 4_000) },
+                case("appends that land after all limits", notKnown, runs = true) { log.faults = LogFaults(delayMs = 30_000) },
+                case("a first append that lands after the second", inForce, runs = true) {
                     fault(LogFaults(delayMs = 20_000), durationMs = 1_000)
                 },
-                Case("no append permitted", refused, runs = false) { log.faults = LogFaults(maxAppendsPerS = 0) },
-                Case("a low append rate", inForce, runs = true) {
+                case("no append permitted", refused, runs = false) { log.faults = LogFaults(maxAppendsPerS = 0) },
+                case("a low append rate", inForce, runs = true) {
                     log.faults = LogFaults(maxAppendsPerS = 1)
                     log.append("other", ByteArray(0))
                 },
-                Case("patches lost, fences not", refused, runs = false) {
+                case("patches lost, fences not", refused, runs = false) {
                     onAppend = { payload -> PublishFixture.LOST.takeUnless { PublishFixture.isFence(payload) } }
                 },
-                Case("all appends lost", notKnown, runs = false) { onAppend = { PublishFixture.LOST } },
-                Case("an outage after the append", notKnown, runs = true) {
+                case("all appends lost", notKnown, runs = false) { onAppend = { PublishFixture.LOST } },
+                case("an outage after the append", notKnown, runs = true) {
                     onAppend = { log.append(Streams.CONFIG, it).also { log.faults = LogFaults(outage = true) } }
                 },
-                Case("an outage after the append, and a node that hears from peers", inForce, runs = true) {
+                case("an outage after the append, and a node that hears from peers", inForce, runs = true) {
                     onAppend = { log.append(Streams.CONFIG, it).also { log.faults = LogFaults(outage = true) } }
                     timers.after(1_500) { nodeState = folded() }
                 },
-                Case("another patch first", refused, runs = false) { append("[services.b]") },
-                Case("the same patch first", inForce, runs = true) { append(PublishFixture.TEXT) },
-                Case("a fence first", refused, runs = false) {
+                case("another patch first", refused, runs = false) { append("[services.b]") },
+                case("the same patch first", inForce, runs = true) { append(PublishFixture.TEXT) },
+                case("a fence first", refused, runs = false) {
                     val id = PublishFixture.record(PublishFixture.TEXT, nodeState).patchId
                     log.store.append(Streams.CONFIG, RecordCodec.encode(FenceRecord(patchId = id)))
                 },
-                Case("a log that is shorter than the node's", notKnown, runs = true) { nodeState = nodeState.copy(nextOffset = 9) },
-                Case("a log whose records were dropped", notKnown, runs = true) {
+                case("a log that is shorter than the node's", notKnown, runs = true) { nodeState = nodeState.copy(nextOffset = 9) },
+                case("a log whose records were dropped", notKnown, runs = true) {
                     repeat(3) { log.store.append(Streams.CONFIG, ByteArray(1)) }
                     log.store.retain(0)
                 },
-                Case("a stopped fold", refused, runs = false) { nodeState = nodeState.copy(stoppedReason = "format 2") },
+                case("a stopped fold", refused, runs = false) { nodeState = nodeState.copy(stoppedReason = "format 2") },
             )
     }
 }
