--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/publish/LogFollower.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/publish/LogFollower.kt
@@ -7,14 +7,18 @@
 import dev.lycheehill.config.fold.outcomeOf
 import dev.lycheehill.config.log.PatchId
 import dev.lycheehill.config.log.Streams
+import dev.lycheehill.config.snapshot.SnapshotRestore
 import dev.lycheehill.platformlog.LogError
 import dev.lycheehill.platformlog.PlatformLog
+import dev.lycheehill.platformlog.snapshot.SnapshotReader
 
 /** Folds the log for one publish, ahead of the node or behind it, whichever is further. Not thread-safe. */
 internal class LogFollower(
     private val log: PlatformLog,
     private val node: FoldStateSource,
 ) {
+    private val snapshots = SnapshotReader(log)
+
     /** Furthest state known. */
     var state: FoldState = node.foldState()
         private set
@@ -34,6 +38,7 @@
         // The node may have received records from peers while the log was waited for.
         adoptNodeState()
         if (page != null) checkEnd(page.nextOffset)
+        if (page != null && SnapshotRestore.isNeeded(state, page.firstRetainedOffset)) restore()
         if (divergence == null) page?.entries?.forEach { state = ConfigFold.apply(state, it) }
         return page != null && page.firstRetainedOffset <= state.nextOffset
     }
@@ -44,6 +49,11 @@
         return log.append(Streams.CONFIG, payload).onRight { if (it < foldedBefore) checkEnd(it) }
     }
 
+    // A snapshot is read again at each poll, since a newer one may have been written in the meantime.
+    private fun restore() {
+        state = snapshots.restore(state).getOrNull() ?: state
+    }
+
     private fun checkEnd(endOffset: Long) {
         if (endOffset < state.nextOffset) {
             divergence = "the log ends at offset $endOffset, but offset ${state.nextOffset} was reached before"
--- a/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/PublisherTest.kt
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/publish/PublisherTest.kt
@@ -5,6 +5,8 @@
 import dev.lycheehill.config.log.PatchId
 import dev.lycheehill.config.log.RecordCodec
 import dev.lycheehill.config.log.Streams
+import dev.lycheehill.config.snapshot.Snapshot
+import dev.lycheehill.config.snapshot.SnapshotCodec
 import dev.lycheehill.platformlog.memory.LogFaults
 import org.junit.jupiter.api.Named.named
 import org.junit.jupiter.api.Test
@@ -177,6 +179,13 @@
                     repeat(3) { log.store.append(Streams.CONFIG, ByteArray(1)) }
                     log.store.retain(0)
                 },
+                case("dropped records and a snapshot in the log", inForce, runs = true) {
+                    val folded = folded().copy(nextOffset = 3, chainHash = "1".repeat(64))
+                    val parts = SnapshotCodec.encode(Snapshot(folded)).getOrNull().orEmpty()
+                    repeat(3) { log.store.append(Streams.CONFIG, ByteArray(1)) }
+                    log.store.retain(0)
+                    parts.forEach { log.store.append(Streams.SNAPSHOTS, it) }
+                },
                 case("a stopped fold", refused, runs = false) { nodeState = nodeState.copy(stoppedReason = "format 2") },
             )
     }
