--- a/calls/src/main/kotlin/dev/lycheehill/calls/balancing/LoadAwarePicker.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/balancing/LoadAwarePicker.kt
@@ -41,6 +41,8 @@
         while (table.ejected.size > rules.maxEjected(table.all.size)) readmit(table.ejected.first(), nowNanos)
     }
 
+    override fun find(id: String): TargetHandle? = table.all.firstOrNull { it.info.id == id }
+
     override fun pick(
         nowNanos: Long,
         tried: Collection<String>,
--- a/calls/src/main/kotlin/dev/lycheehill/calls/balancing/RoundRobinPicker.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/balancing/RoundRobinPicker.kt
@@ -16,6 +16,8 @@
         handles = targets.filter { it.weight > 0 }.map(::Handle)
     }
 
+    override fun find(id: String): TargetHandle? = handles.firstOrNull { it.info.id == id }
+
     override fun pick(
         nowNanos: Long,
         tried: Collection<String>,
--- a/calls/src/main/kotlin/dev/lycheehill/calls/balancing/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/balancing/TargetPicker.kt
@@ -21,6 +21,9 @@
         tried: Collection<String> = emptyList(),
     ): TargetHandle?
 
+    /** Returns the target with [id], or null when it is not known. For calls that may run at one target only. */
+    fun find(id: String): TargetHandle?
+
     /** Records that an attempt begins. */
     fun onStart(
         target: TargetHandle,
--- a/calls/src/main/kotlin/dev/lycheehill/calls/quarantine/RequestFingerprint.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/quarantine/RequestFingerprint.kt
@@ -1,9 +1,11 @@
 package dev.lycheehill.calls.quarantine
 
+import kotlinx.serialization.Serializable
 import java.nio.ByteBuffer
 import java.security.MessageDigest
 
 /** First 128 bits of the SHA-256 over method, path, query and the first [BODY_PREFIX_BYTES] of the body. */
+@Serializable
 data class RequestFingerprint(
     val high: Long,
     val low: Long,
--- a/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeProcess.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeProcess.kt
@@ -10,7 +10,9 @@
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.node.DataPathSettings
 import dev.lycheehill.node.LycheehillNode
+import dev.lycheehill.node.keys.KeyHomes
 import dev.lycheehill.node.metrics.NodeMetrics
+import dev.lycheehill.node.quarantine.FleetEvidence
 import dev.lycheehill.node.settings.HostPort
 import dev.lycheehill.node.settings.NodeSettings
 import dev.lycheehill.node.tracing.OtelSpanRecorder
@@ -18,6 +20,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.nio.file.Path
+import java.util.concurrent.Executors
 import dev.lycheehill.fleet.link.TlsSettings as LinkTlsSettings
 
 /**
@@ -50,6 +53,10 @@
     private val metrics = NodeMetrics()
     private val spans = OtelSpanRecorder(settings.nodeId, settings.zone, settings.tracing)
 
+    private val appends = Executors.newSingleThreadExecutor { Thread(it, "key-homes-${settings.nodeId}").apply { isDaemon = true } }
+    private val keys = KeyHomes(agent, log, timers, appends)
+    private val evidence = FleetEvidence(agent.messenger)
+
     private val node =
         LycheehillNode(
             settings = dataPathSettings(seed),
@@ -57,6 +64,8 @@
             timers = timers,
             metrics = metrics,
             spans = spans,
+            evidence = evidence,
+            keys = keys,
         )
 
     /** Address of the link to other nodes. */
@@ -76,11 +85,15 @@
         node.start()
         egressAddress = HostPort(settings.addresses.egress.host, node.egressAddress.port)
         localApiAddress = HostPort(settings.addresses.localApi.host, node.apiAddress.port)
+        evidence.deliverTo(node.quarantine, timers)
+        keys.start()
         agent.start()
     }
 
     /** Drains the target, waits for the calls in flight, leaves the fleet and ends. */
     fun stop() {
+        node.drain()
+        keys.awaitRelease(KEY_RELEASE_MS)
         node.stop()
         agent.leave().join()
         close()
@@ -94,6 +107,8 @@
     }
 
     private fun close() {
+        keys.stop()
+        appends.shutdownNow()
         spans.close()
         metrics.close()
     }
@@ -126,6 +141,9 @@
         )
 
     private companion object {
+        // A new epoch takes about a second while the log answers; without the log the keys stay with this node's record.
+        const val KEY_RELEASE_MS = 5_000L
+
         // The node's record names the port before the node listens.
         fun freePort(host: String): Int = ServerSocket(0, 1, InetAddress.getByName(host)).use { it.localPort }
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -17,6 +17,7 @@
 import dev.lycheehill.node.egress.ServiceTable
 import dev.lycheehill.node.ingress.IngressEnvironment
 import dev.lycheehill.node.ingress.IngressHandler
+import dev.lycheehill.node.keys.KeyGate
 import dev.lycheehill.node.loop.LoopContexts
 import dev.lycheehill.node.loop.Transport
 import dev.lycheehill.node.metrics.NodeMeter
@@ -52,6 +53,7 @@
     private val metrics: NodeMetrics = NodeMetrics(),
     private val spans: SpanRecorder = NoSpans,
     evidence: EvidenceChannel = EvidenceChannel.None,
+    private val keys: KeyGate? = null,
 ) {
     /** Requests that crash backend servers. The fleet adds the evidence of other nodes. */
     val quarantine = CrashQuarantine()
@@ -130,14 +132,14 @@
     }
 
     private fun egressHandler() =
-        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans))
+        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans, keys))
 
     private fun apiEndpoints(): List<ApiEndpoint> =
         TargetEndpoints(target).all() + OperatorEndpoints(fleet, target, ::drain).all() + ShowEndpoints(fleet, router).all() +
             ObservationEndpoints(metrics, spans).all() + QuarantineEndpoints(quarantine, timers).all()
 
     private fun ingressHandler() =
-        IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops, crashes, metrics, spans))
+        IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops, crashes, metrics, spans, keys))
 
     private companion object {
         val log = KotlinLogging.logger {}
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -34,6 +34,7 @@
     private val loop: LoopContext,
     private val call: InboundCall,
     private val decision: RouteDecision,
+    private val home: KeyHome? = null,
 ) : InboundCallListener {
     val service: ServiceCalls = environment.services.of(decision.service)
     val allowance: RetryAllowance =
@@ -48,7 +49,7 @@
     private val idempotent = decision.isIdempotent(call.method.name())
     private val deadline =
         Deadline.received(call.headers.get(CallHeaders.DEADLINE_MS), decision.timeoutMs.toLong(), startNanos)
-    private val template = RequestTemplate(call, decision)
+    private val template = RequestTemplate(call, decision, home?.domain)
     private val tried = ArrayList<String>(2)
     private val running = ArrayList<EgressAttempt>(2)
     private var attempts = 0
@@ -157,9 +158,10 @@
             return
         }
         service.refresh(environment.endpoints.targets(decision.service.name), now)
-        val target = service.picker.pick(now, tried)
+        val target = if (home == null) service.picker.pick(now, tried) else service.picker.find(home.nodeId)
         if (target == null) {
-            giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.SERVICE_UNAVAILABLE, "no-target"), NO_TARGET_RETRY_MS)
+            val reason = if (home == null) "no-target" else "key-home-gone"
+            giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.SERVICE_UNAVAILABLE, reason), NO_TARGET_RETRY_MS)
             return
         }
         attempts++
@@ -194,7 +196,7 @@
                 maxAttempts = decision.route.maxAttempts,
                 deadline = deadline,
                 allowance = allowance,
-                repeatable = outcome.repeatable,
+                repeatable = outcome.repeatable && home == null,
                 retryAfterMs = outcome.retryAfterMs,
             )
         when (val choice = service.retries.decide(failed, System.nanoTime())) {
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.fleet.FleetView
 import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.keys.KeyGate
 import dev.lycheehill.node.loop.LoopContexts
 import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.routing.EndpointIndex
@@ -20,4 +21,5 @@
     val loops: LoopContexts,
     val metrics: NodeMetrics,
     val spans: SpanRecorder,
+    val keys: KeyGate?,
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressHandler.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressHandler.kt
@@ -1,9 +1,12 @@
 package dev.lycheehill.node.egress
 
+import dev.lycheehill.calls.keys.KeyRefusal
 import dev.lycheehill.core.Verdict
 import dev.lycheehill.node.http.CallHandler
+import dev.lycheehill.node.http.CallHeaders
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.http.NodeResponses
+import dev.lycheehill.node.routing.RouteDecision
 import io.netty.handler.codec.http.HttpResponseStatus
 
 /** Serves the callers of this node: finds the route of each call and sends it to a target. */
@@ -18,6 +21,26 @@
             NodeResponses.giveUp(call, HttpResponseStatus.NOT_FOUND, Verdict.NOT_RUN, "no-route", snapshot.version)
             return
         }
-        EgressCall(environment, loop, call, decision).start()
+        val key = call.headers.get(CallHeaders.IDEMPOTENCY_KEY)
+        val keys = environment.keys
+        if (key == null || keys == null || decision.isIdempotent(call.method.name())) {
+            EgressCall(environment, loop, call, decision).start()
+            return
+        }
+        val home = keys.homeOf(decision.keyDomain, key)
+        val service = environment.fleet.members()[home]?.let { snapshot.content.services[it.service] }
+        if (home == null || service == null) {
+            val reason = if (home == null) KeyRefusal.NO_EPOCH.headerValue else "key-home-gone"
+            NodeResponses.giveUp(call, HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.NOT_RUN, reason, snapshot.version, HOME_RETRY_MS)
+            return
+        }
+        // The home decides the service too, so that a change of weights does not move a key to another service.
+        val atHome = RouteDecision(decision.version, decision.route, service)
+        EgressCall(environment, loop, call, atHome, KeyHome(decision.keyDomain, home)).start()
+    }
+
+    private companion object {
+        // About the time in which a new epoch is proposed and distributed.
+        const val HOME_RETRY_MS = 500L
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/RequestTemplate.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/RequestTemplate.kt
@@ -14,6 +14,7 @@
 internal class RequestTemplate(
     private val call: InboundCall,
     private val decision: RouteDecision,
+    private val keyDomain: String?,
 ) {
     private val common: HttpHeaders = commonHeaders()
 
@@ -43,7 +44,7 @@
         headers.set(CallHeaders.SERVICE, decision.service.name)
         headers.set(CallHeaders.PRIORITY, route.priority.name)
         headers.set(CallHeaders.COST, route.cost.name)
-        if (headers.contains(CallHeaders.IDEMPOTENCY_KEY)) headers.set(CallHeaders.KEY_DOMAIN, route.keyDomain ?: route.name)
+        keyDomain?.let { headers.set(CallHeaders.KEY_DOMAIN, it) }
         if (!headers.contains(HttpHeaderNames.HOST)) headers.set(HttpHeaderNames.HOST, "")
         return headers
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -5,6 +5,8 @@
 import dev.lycheehill.calls.admission.AdmissionResult
 import dev.lycheehill.calls.admission.CallCost
 import dev.lycheehill.calls.admission.CallPriority
+import dev.lycheehill.calls.keys.KeyDecision
+import dev.lycheehill.calls.keys.KeyRefusal
 import dev.lycheehill.calls.verdict.Deadline
 import dev.lycheehill.calls.verdict.RetryAllowance
 import dev.lycheehill.config.model.Priority
@@ -16,6 +18,7 @@
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.http.InboundCallListener
 import dev.lycheehill.node.http.NodeResponses
+import dev.lycheehill.node.keys.StoredAnswer
 import dev.lycheehill.node.loop.LoopContext
 import dev.lycheehill.node.metrics.ShedReason
 import dev.lycheehill.node.relay.CollectedResponse
@@ -24,7 +27,9 @@
 import dev.lycheehill.node.tracing.Hop
 import dev.lycheehill.node.tracing.HopResult
 import dev.lycheehill.node.upstream.ExchangeFailure
+import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
@@ -58,6 +63,7 @@
     private val span = environment.spans.start(Hop.INGRESS, call.headers.get(CallHeaders.TRACEPARENT))
     private val arrivedNanos = System.nanoTime()
     private val fingerprint = environment.crashes.fingerprintOf(call)
+    private val keyed = KeyedRun.of(environment.keys, call.headers)
     private var stage = Stage.WAITING
     private var collector: ResponseCollector? = null
     private var streaming = false
@@ -97,9 +103,9 @@
         when (stage) {
             Stage.WAITING -> cancelWaiting()
             Stage.RUNNING -> {
-                collector?.cancel()
-                ended(succeeded = false)
-                endSpan(Verdict.MAY_HAVE_RUN, null, "caller-gone")
+                val verdict = cancel()
+                ended(verdict)
+                endSpan(verdict, null, "caller-gone")
             }
             Stage.DONE -> Unit
         }
@@ -110,7 +116,7 @@
     }
 
     override fun onWhole(response: CollectedResponse) {
-        val headers = peerHeaders(response.headers, ended(succeeded = true))
+        val headers = peerHeaders(response.headers, ended(Verdict.RAN, response))
         endSpan(Verdict.RAN, response.status, null)
         environment.crashes.succeeded(fingerprint)
         call.respond(response.status, headers, response.body)
@@ -122,12 +128,12 @@
     }
 
     override fun onStreamed() {
-        ended(succeeded = true)
+        ended(Verdict.RAN)
         endSpan(Verdict.RAN, collector?.head?.status(), null)
     }
 
     override fun onFailure(failure: ExchangeFailure) {
-        val unused = ended(succeeded = false)
+        val unused = ended(failure.verdict)
         endSpan(failure.verdict, null, failure.kind.reason)
         val mayHaveCrashed = failure.verdict == Verdict.MAY_HAVE_RUN && failure.kind in closedKinds
         if (mayHaveCrashed) reportCrashIfDown { answer(failure, unused) } else answer(failure, unused)
@@ -167,12 +173,23 @@
             refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, refusal ?: "deadline", RETRY_MS)
             return
         }
+        when (val decision = keyed?.begin()) {
+            null, is KeyDecision.Execute -> execute(registration.address, nowNanos)
+            is KeyDecision.Replay -> replay(StoredAnswer.decode(decision.response), nowNanos)
+            is KeyDecision.Refuse -> refuse(decision, nowNanos)
+        }
+    }
+
+    private fun execute(
+        address: String,
+        nowNanos: Long,
+    ) {
         stage = Stage.RUNNING
         startNanos = nowNanos
         environment.metrics.queued(Priority.entries[admitted.priority.ordinal], nowNanos - arrivedNanos)
         environment.target.callStarted()
         if (treeId != null) environment.allowances.start(treeId, RetryAllowance.received(call.headers.get(CallHeaders.RETRIES_LEFT)))
-        send(registration.address, nowNanos)
+        send(address, nowNanos)
     }
 
     private fun send(
@@ -190,14 +207,12 @@
 
     private fun onDeadline() {
         if (stage != Stage.RUNNING) return
-        val sent = collector?.exchange?.isSent == true
-        collector?.cancel()
-        ended(succeeded = false)
+        val verdict = cancel()
+        ended(verdict)
         if (streaming) {
             call.abort()
             return
         }
-        val verdict = if (sent) Verdict.MAY_HAVE_RUN else Verdict.NOT_RUN
         endSpan(verdict, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline")
         NodeResponses.giveUp(call, HttpResponseStatus.GATEWAY_TIMEOUT, verdict, "deadline")
     }
@@ -212,16 +227,53 @@
         }
     }
 
+    /** Cancels the exchange with the backend server and returns whether the call may have run. */
+    private fun cancel(): Verdict {
+        val sent = collector?.exchange?.isSent == true
+        collector?.cancel()
+        return if (sent) Verdict.MAY_HAVE_RUN else Verdict.NOT_RUN
+    }
+
     /** Ends the run and returns the retries that its child calls have left. */
-    private fun ended(succeeded: Boolean): Int {
+    private fun ended(
+        verdict: Verdict,
+        response: CollectedResponse? = null,
+    ): Int {
         if (stage != Stage.RUNNING) return 0
         stage = Stage.DONE
         timer?.cancel(false)
         environment.target.callEnded(System.nanoTime() - startNanos)
-        environment.admission.onFinish(admitted, System.nanoTime(), succeeded)
+        environment.admission.onFinish(admitted, System.nanoTime(), succeeded = verdict == Verdict.RAN)
+        keyed?.finish(verdict, response)
         return treeId?.let(environment.allowances::finish) ?: 0
     }
 
+    private fun replay(
+        answer: StoredAnswer,
+        nowNanos: Long,
+    ) {
+        stage = Stage.DONE
+        environment.admission.onFinish(admitted, nowNanos, succeeded = false)
+        val status = HttpResponseStatus.valueOf(answer.status)
+        endSpan(Verdict.RAN, status, KeyRefusal.REPEATED.headerValue)
+        val headers = peerHeaders(HeaderRules.newHeaders(), unusedRetries = 0)
+        headers.set(CallHeaders.REASON, KeyRefusal.REPEATED.headerValue)
+        if (answer.contentType.isNotEmpty()) headers.set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+        call.respond(status, headers, Unpooled.wrappedBuffer(answer.body))
+    }
+
+    private fun refuse(
+        refusal: KeyDecision.Refuse,
+        nowNanos: Long,
+    ) {
+        stage = Stage.DONE
+        environment.admission.onFinish(admitted, nowNanos, succeeded = false)
+        val status = if (refusal.verdict == Verdict.NOT_RUN) HttpResponseStatus.SERVICE_UNAVAILABLE else HttpResponseStatus.CONFLICT
+        val reason = refusal.reason.headerValue
+        endSpan(refusal.verdict, status, reason)
+        NodeResponses.giveUp(call, status, refusal.verdict, reason, retryAfterMs = refusal.retryAfterMs, extra = ::setLoad)
+    }
+
     private fun refuse(rejection: AdmissionResult.Rejected) {
         environment.metrics.shed(rejection.reason.toShedReason())
         refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, rejection.reason.headerValue, rejection.retryAfterMs)
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.calls.admission.AdmissionControl
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.keys.KeyGate
 import dev.lycheehill.node.loop.LoopContexts
 import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.quarantine.CrashWatch
@@ -19,4 +20,5 @@
     val crashes: CrashWatch,
     val metrics: NodeMetrics,
     val spans: SpanRecorder,
+    val keys: KeyGate?,
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/keys/KeyHomes.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/keys/KeyHomes.kt
@@ -61,7 +61,18 @@
 
     /** Whether this node is the home of no key any more. True after a drain, when the next epochs are in the log. */
     val isReleased: Boolean
-        get() = agent.foldState().homes.values.none { homes -> homes.members.any { it.nodeId == self.nodeId && it.bootId == self.bootId } }
+        get() =
+            agent
+                .foldState()
+                .homes.values
+                .none { homes -> homes.members.any { it.nodeId == self.nodeId && it.bootId == self.bootId } }
+
+    /** Waits up to [limitMs] until the keys of a draining node have new homes and are handed over. Blocks. */
+    fun awaitRelease(limitMs: Long) {
+        val endMs = timers.nowMs() + limitMs
+        while (!isReleased && timers.nowMs() < endMs) Thread.sleep(RELEASE_POLL_MS)
+        if (requests.size > 0) Thread.sleep(HAND_OVER_MS)
+    }
 
     /** Stops all timers. */
     fun stop() = subscriptions.forEach { it.cancel() }
@@ -175,6 +186,10 @@
         const val TRANSFER_MS = 250L
         const val PROPOSE_MS = 500L
         const val EXPIRE_MS = 60_000L
+        const val RELEASE_POLL_MS = 50L
+
+        // Several periods of the transfer timer, for transfers that are repeated once.
+        const val HAND_OVER_MS = 1_000L
 
         // Callers choose no domain names, so only routes that exist can be wanted; the bound guards against very many.
         const val MAX_WANTED = 1_024
--- a/node/src/main/kotlin/dev/lycheehill/node/routing/RouteDecision.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/routing/RouteDecision.kt
@@ -9,6 +9,9 @@
     val route: Route,
     val service: Service,
 ) {
+    /** Name space of the idempotency keys of the route. */
+    val keyDomain: String get() = route.keyDomain ?: route.name
+
     val timeoutMs: Int get() = route.timeoutMs ?: service.timeoutMs
 
     /** Whether a call with [method] may run more than once. */
