Ask the zones' roots on each status query and log failed tasks

Cause: a repeated inForce call waited up to 500 ms for the next periodic question to the roots. Change: each call asks the roots unless they were asked in the last 100 ms; an exception on an agent's thread is logged.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetAgent.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetAgent.kt
@@ -170,6 +170,7 @@
         listOf(control, worker).filterIsInstance<FleetThreads.Owned>().forEach { it.close() }
     }
 
+    /** As in [FleetView]; waits for the zones up to [FleetSettings.inForceWaitMs], so it must not run on the control thread. */
     override fun inForce(version: Long): InForceReport {
         val askedMs = timers.nowMs()
         onControl { core.ackTree.showInterest(askedMs) }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetThreads.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetThreads.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.fleet
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.concurrent.Executor
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.ThreadPoolExecutor
@@ -7,6 +8,7 @@
 
 /** Threads that a [FleetAgent] creates for itself. */
 internal object FleetThreads {
+    private val logger = KotlinLogging.logger {}
     private const val KEEP_ALIVE_S = 30L
 
     /** Returns an executor of at most [threads] daemon threads, which end when they are idle. */
@@ -16,7 +18,10 @@
     ): Executor {
         val pool =
             ThreadPoolExecutor(threads, threads, KEEP_ALIVE_S, TimeUnit.SECONDS, LinkedBlockingQueue()) { task ->
-                Thread(task, name).apply { isDaemon = true }
+                Thread(task, name).apply {
+                    isDaemon = true
+                    uncaughtExceptionHandler = Thread.UncaughtExceptionHandler { _, e -> logger.error(e) { "task failed on $name" } }
+                }
             }
         pool.allowCoreThreadTimeOut(true)
         return Owned(pool)
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/ack/AckTree.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/ack/AckTree.kt
@@ -26,6 +26,7 @@
     private var lastSent: Pair<String, ZoneSummary>? = null
     private var lastSentMs = 0L
     private var interestUntilMs = 0L
+    private var askedMs = Long.MIN_VALUE / 2
 
     fun onTick(nowMs: Long) {
         if (nowMs < nextReportMs) return
@@ -56,9 +57,8 @@
 
     /** Asks the roots of all zones for their summaries now and for some time on. */
     fun showInterest(nowMs: Long) {
-        val fresh = nowMs < interestUntilMs
         interestUntilMs = nowMs + INTEREST_MS
-        if (!fresh) askRoots(nowMs)
+        if (nowMs - askedMs >= MIN_ASK_PERIOD_MS) askRoots(nowMs)
     }
 
     /** Whether each zone with live members has answered at or after [sinceMs]. */
@@ -114,6 +114,7 @@
     }
 
     private fun askRoots(nowMs: Long) {
+        askedMs = nowMs
         membership.table.liveZones().forEach { zone ->
             val root = ranking.rank(zone).firstOrNull()
             val record = root?.let(membership.table.live::get)
@@ -193,6 +194,7 @@
         const val REFRESH_MS = 10_000L
         const val CHILD_VALID_MS = 30_000L
         const val STATUS_VALID_MS = 3_000L
+        const val MIN_ASK_PERIOD_MS = 100L
         const val INTEREST_MS = 30_000L
     }
 }
