--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -53,6 +53,7 @@
     private val tried = ArrayList<String>(2)
     private val running = ArrayList<EgressAttempt>(2)
     private var attempts = 0
+    private var homeRetries = 0
     private var mayHaveRun = false
     private var streaming: EgressAttempt? = null
     private var timer: ScheduledFuture<*>? = null
@@ -138,9 +139,18 @@
         attempt.end(AttemptOutcome.SHED, response.headers)
         attempt.giveBackRetries()
         val retryAfterMs = response.headers.get(CallHeaders.RETRY_AFTER_MS)?.toLongOrNull()
+        if (isRepeatedAtHome(retryAfterMs)) return
         next(GivenUp(Verdict.NOT_RUN, response.status, reasonOf(response.headers), response.status.code() != UNPROCESSABLE, retryAfterMs))
     }
 
+    // The home of an idle key domain needs one round of vouchers, which is shorter than a round trip to the caller and back.
+    private fun isRepeatedAtHome(retryAfterMs: Long?): Boolean {
+        if (home == null || retryAfterMs == null || retryAfterMs > MAX_HOME_RETRY_MS || homeRetries == HOME_RETRIES) return false
+        homeRetries++
+        retryAfter(retryAfterMs)
+        return true
+    }
+
     private fun uncertain(
         attempt: EgressAttempt,
         response: CollectedResponse,
@@ -294,6 +304,8 @@
     private companion object {
         const val UNPROCESSABLE = 422
         const val NO_TARGET_RETRY_MS = 1_000L
+        const val MAX_HOME_RETRY_MS = 100L
+        const val HOME_RETRIES = 4
 
         // The target's node finds a silent backend server first and can then say so.
         const val PROGRESS_GRACE_MS = 50L
