--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -145,7 +145,8 @@
 
     // The home of an idle key domain needs one round of vouchers, which is shorter than a round trip to the caller and back.
     private fun isRepeatedAtHome(retryAfterMs: Long?): Boolean {
-        if (home == null || retryAfterMs == null || retryAfterMs > MAX_HOME_RETRY_MS || homeRetries == HOME_RETRIES) return false
+        if (home == null || homeRetries == HOME_RETRIES) return false
+        if (retryAfterMs == null || retryAfterMs > MAX_HOME_RETRY_MS) return false
         homeRetries++
         retryAfter(retryAfterMs)
         return true
