Hold a transfer slot for a difference only as long as its bytes need

Cause: each difference of one record held a transfer slot for 20 ms, so a fifth peer was told to wait for 50 ms and a jittered delay, which shows in the tail of convergence. Change: the hold time follows the bytes, and a refused node asks another announcing peer before it backs off.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/Dissemination.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/dissemination/Dissemination.kt
@@ -101,13 +101,20 @@
     ) {
         val own = store.state
         val missing = own.nextOffset - request.fromOffset
-        val records = if (missing in 1..settings.maxDifference) store.recordsFrom(request.fromOffset, settings.maxDifference) else null
+        val records =
+            if (missing in
+                1..settings.maxDifference
+            ) {
+                store.recordsFrom(request.fromOffset, settings.maxDifference)?.let(::bounded)
+            } else {
+                null
+            }
         val chain = store.chainAt(request.fromOffset)
         when {
             missing <= 0 -> outbox.send(from, PeerMessage.Records(emptyList()))
             chain != null && chainPrefix(chain) != request.chain -> refuseDiverged(from)
-            !admission.admit(from, nowMs, if (records == null) SNAPSHOT_HOLD_MS else DIFFERENCE_HOLD_MS) -> refuseBusy(from)
-            records != null -> outbox.send(from, PeerMessage.Records(bounded(records)))
+            !admission.admit(from, nowMs, records?.let(::holdMs) ?: SNAPSHOT_HOLD_MS) -> refuseBusy(from)
+            records != null -> outbox.send(from, PeerMessage.Records(records))
             else -> serveSnapshot(from, own.nextOffset, part = 0)
         }
     }
@@ -160,8 +167,13 @@
     ) {
         if (fetch?.peer != from) return
         ahead.remove(from)
+        if (ahead.isNotEmpty()) {
+            fetch = null
+            fetchNext(nowMs)
+            return
+        }
         failFetch(nowMs)
-        if (ahead.isEmpty()) ahead[from] = Long.MAX_VALUE
+        ahead[from] = Long.MAX_VALUE
         mayFetchAtMs = maxOf(mayFetchAtMs, nowMs + minOf(busy.retryAfterMs, settings.backoffCapMs))
     }
 
@@ -234,6 +246,9 @@
         if (transfer.serve(peer, nextOffset, part)) admission.release(peer)
     }
 
+    // A difference is one message, which occupies the sender about as long as its bytes take on the wire.
+    private fun holdMs(records: List<WireRecord>): Long = 1 + records.sumOf { it.payload.size } / DIFFERENCE_BYTES_PER_MS
+
     private fun bounded(records: List<WireRecord>): List<WireRecord> {
         var bytes = 0
         return records.takeWhile {
@@ -250,7 +265,7 @@
 
     private companion object {
         const val MAX_CANDIDATES = 8
-        const val DIFFERENCE_HOLD_MS = 20L
+        const val DIFFERENCE_BYTES_PER_MS = 25_000L
         const val SNAPSHOT_HOLD_MS = 2_000L
         const val RETRY_AFTER_MS = 50L
         const val DISTRUST_MS = 10_000L
