Measure crash requests and count answers by status

Cause: crash-request had no measurement, and an added-latency run in which no call over the two nodes succeeded was reported as met. Change: crash-request; added-latency prints answers by status and is met only when each call was answered. A closed connection leaves its pool before a listener is told; a hedge is not started after the deadline; a truncated response to HTTP/1.0 ends in a reset.

--- a/measure/src/main/kotlin/dev/lycheehill/measure/calls/AddedLatencyMeasure.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/calls/AddedLatencyMeasure.kt
@@ -33,7 +33,10 @@
         print: (String) -> Unit,
     ): MeasureResult {
         // The compilers of the JVM need some ten thousand calls.
-        listOf(direct, meshed).forEach { it.run(listOf(LoadStream(CallMesh.READ, WARM_UP_RATE)), WARM_UP_MS) }
+        listOf(direct, meshed).forEach {
+            val warmUp = it.run(listOf(LoadStream(CallMesh.READ, WARM_UP_RATE)), WARM_UP_MS).getValue(CallMesh.READ.name)
+            print("warm-up ${figures(warmUp)}")
+        }
         val ours = LoadTally()
         val baseline = LoadTally()
         repeat(ROUNDS) { round ->
@@ -54,7 +57,7 @@
             baseline = baseline.percentileMs(P99),
             ratio = ours.percentileMs(P99) / baseline.percentileMs(P99),
             target = "ours minus direct at most 1 ms",
-            met = added <= TARGET_MS,
+            met = added <= TARGET_MS && ours.latencies.totalCount == baseline.latencies.totalCount,
         )
     }
 
@@ -62,7 +65,12 @@
         load.run(listOf(LoadStream(CallMesh.READ, CALLS_PER_SECOND)), ROUND_MS, warmUpMs = 500).getValue(CallMesh.READ.name)
 
     private fun figures(tally: LoadTally): String =
-        "p50=%.3f p99=%.3f ms n=%d".format(tally.percentileMs(P50), tally.percentileMs(P99), tally.latencies.totalCount)
+        "p50=%.3f p99=%.3f ms n=%d statuses=%s".format(
+            tally.percentileMs(P50),
+            tally.percentileMs(P99),
+            tally.latencies.totalCount,
+            tally.statuses,
+        )
 
     private companion object {
         val SERVICE_TIME = ServiceTime(0.0, 0.0)
--- a/measure/src/main/kotlin/dev/lycheehill/measure/calls/CallMeasureCommand.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/calls/CallMeasureCommand.kt
@@ -4,7 +4,7 @@
 object CallMeasureCommand {
     /** All measurements of calls. */
     val measures: List<CallMeasure> =
-        listOf(AddedLatencyMeasure(), SlowBackendMeasure(), HeadOfLineMeasure(), CrestMeasure(), DrainMeasure())
+        listOf(AddedLatencyMeasure(), SlowBackendMeasure(), HeadOfLineMeasure(), CrestMeasure(), DrainMeasure(), CrashRequestMeasure())
 
     @JvmStatic
     fun main(arguments: Array<String>) {
--- a/measure/src/main/kotlin/dev/lycheehill/measure/calls/CallMesh.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/calls/CallMesh.kt
@@ -11,6 +11,7 @@
 import dev.lycheehill.node.DataPathSettings
 import dev.lycheehill.node.LycheehillNode
 import dev.lycheehill.node.policy.CallPolicies
+import dev.lycheehill.node.quarantine.EvidenceChannel
 import dev.lycheehill.node.target.TargetRegistration
 import dev.lycheehill.node.view.InMemoryFleetView
 import dev.lycheehill.node.view.SharedFleet
@@ -32,6 +33,7 @@
     callers: Int = 2,
     shortCalls: ServiceTime,
     longCalls: ServiceTime = shortCalls,
+    private val evidence: EvidenceChannel = EvidenceChannel.None,
 ) : AutoCloseable {
     private val fleet = SharedFleet(contentOf(deployment))
     private val timers = SystemTimerService("measure-timer")
@@ -97,7 +99,7 @@
                 dataAddress = "127.0.0.1:1",
             )
         fleet.put(record)
-        val node = LycheehillNode(settings, InMemoryFleetView(fleet, nodeId), timers, policies)
+        val node = LycheehillNode(settings, InMemoryFleetView(fleet, nodeId), timers, policies, evidence = evidence)
         node.start()
         fleet.update(nodeId) { it.copy(dataAddress = "127.0.0.1:${node.ingressAddress.port}") }
         return node
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/calls/CrashRequestMeasure.kt
@@ -0,0 +1,73 @@
+package dev.lycheehill.measure.calls
+
+import dev.lycheehill.measure.MeasureResult
+import dev.lycheehill.standins.backend.BackendHeaders
+import dev.lycheehill.standins.backend.BackendStandIn
+import dev.lycheehill.standins.backend.ServiceTime
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/**
+ * Crashes of backend servers while a caller sends a request again and again that crashes each server which runs it.
+ * Servers start again after a second. Evidence passes between the nodes in memory, so the time for gossip is not in it.
+ */
+class CrashRequestMeasure : CallMeasure {
+    override val name = "crash-request"
+
+    override fun run(
+        seed: Long,
+        deployment: CallDeployment,
+        print: (String) -> Unit,
+    ): MeasureResult {
+        val pair =
+            PolicyPair.measure { label, policies ->
+                val evidence = SharedEvidence(enabled = label == "ours")
+                CallMesh(deployment, policies, seed, shortCalls = SERVICE_TIME, evidence = evidence).use { mesh ->
+                    evidence.nodes = mesh.targetNodes
+                    OpenLoad(mesh.callerAddresses, seed).use { load -> crashes(label, mesh, load, print) }
+                }
+            }
+        return MeasureResult(
+            name = "$name crashes",
+            seed = seed,
+            deployment = deployment.label,
+            ours = pair.ours,
+            baseline = pair.baseline,
+            ratio = pair.ours / pair.baseline,
+            target = "quarantined after crashes of two different targets",
+            met = pair.ours <= TARGET_CRASHES,
+        )
+    }
+
+    private fun crashes(
+        label: String,
+        mesh: CallMesh,
+        load: OpenLoad,
+        print: (String) -> Unit,
+    ): Double {
+        val supervisor = Executors.newSingleThreadScheduledExecutor()
+        mesh.backends.forEach { supervisor.scheduleWithFixedDelay({ restart(it) }, RESTART_MS, RESTART_MS, TimeUnit.MILLISECONDS) }
+        val streams = listOf(LoadStream(CallMesh.READ, CALLS_PER_SECOND), LoadStream(CRASH, CRASHES_PER_SECOND))
+        val tallies = load.run(streams, DURATION_MS)
+        supervisor.shutdownNow()
+        val crashes = mesh.backends.sumOf { it.runs.of(CRASH_KEY).started }
+        val read = tallies.getValue(CallMesh.READ.name)
+        print("$label crashes=$crashes of ${tallies.getValue(CRASH.name).due} sent, other calls success=%.4f".format(read.successShare))
+        return crashes.toDouble()
+    }
+
+    private fun restart(backend: BackendStandIn) {
+        if (!backend.isUp) backend.start()
+    }
+
+    private companion object {
+        const val CRASH_KEY = "crash"
+        val CRASH = CallKind("crash", "/read/crash", "POST", mapOf(BackendHeaders.MARK to "crash", BackendHeaders.REQUEST_KEY to CRASH_KEY))
+        val SERVICE_TIME = ServiceTime(medianMs = 5.0, p99Ms = 10.0)
+        const val CALLS_PER_SECOND = 340.0
+        const val CRASHES_PER_SECOND = 2.0
+        const val RESTART_MS = 1_000L
+        const val DURATION_MS = 15_000L
+        const val TARGET_CRASHES = 2
+    }
+}
--- a/measure/src/main/kotlin/dev/lycheehill/measure/calls/LoadTally.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/calls/LoadTally.kt
@@ -1,6 +1,7 @@
 package dev.lycheehill.measure.calls
 
 import org.HdrHistogram.Histogram
+import java.util.TreeMap
 
 /**
  * Outcomes of the calls of one kind. Latencies count from the time at which a call was due, so a stalled server does not
@@ -28,6 +29,9 @@
     /** Share of the due calls that succeeded. */
     val successShare: Double get() = if (due == 0) 1.0 else succeeded.toDouble() / due
 
+    /** Number of responses by status. */
+    val statuses = TreeMap<Int, Int>()
+
     internal fun due() {
         due++
     }
@@ -36,6 +40,7 @@
         status: Int,
         latencyNanos: Long,
     ) {
+        statuses.merge(status, 1, Int::plus)
         if (status != OK) return
         succeeded++
         latencies.recordValue(minOf(latencyNanos, HIGHEST_NANOS))
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/calls/SharedEvidence.kt
@@ -0,0 +1,22 @@
+package dev.lycheehill.measure.calls
+
+import dev.lycheehill.calls.quarantine.CrashEvidence
+import dev.lycheehill.calls.quarantine.SuccessEvidence
+import dev.lycheehill.node.LycheehillNode
+import dev.lycheehill.node.quarantine.EvidenceChannel
+
+/** Passes evidence to all [nodes] of this process at once. When not [enabled], evidence stays on its node. */
+internal class SharedEvidence(
+    private val enabled: Boolean,
+) : EvidenceChannel {
+    @Volatile
+    var nodes: List<LycheehillNode> = emptyList()
+
+    override fun send(evidence: CrashEvidence) {
+        if (enabled) nodes.forEach { it.quarantine.onCrash(evidence, System.currentTimeMillis()) }
+    }
+
+    override fun send(evidence: SuccessEvidence) {
+        if (enabled) nodes.forEach { it.quarantine.onSuccess(evidence, System.currentTimeMillis()) }
+    }
+}
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -223,7 +223,8 @@
 
     private fun hedge() {
         if (call.isAnswered || streaming != null || running.size != 1) return
-        if (!service.hedges.tryHedge(System.nanoTime())) return
+        val now = System.nanoTime()
+        if (deadline.isExpired(now) || !service.hedges.tryHedge(now)) return
         meters.hedged()
         attempt()
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
@@ -126,6 +127,11 @@
         }
     }
 
+    /** Makes the close of the connection a reset. */
+    fun resetOnClose() {
+        ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0)
+    }
+
     /** Closes the connection at once. */
     fun closeNow() {
         ctx.close()
--- a/node/src/main/kotlin/dev/lycheehill/node/http/InboundCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/InboundCall.kt
@@ -101,6 +101,8 @@
     /** Closes the caller's connection, so that a partial response cannot look whole. */
     fun abort() {
         closeAfter = true
+        // The end of the connection is the end of a response to HTTP/1.0, so only a reset shows that it is not whole.
+        if (isHttp10) connection.resetOnClose()
         finish()
     }
 
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/ConnectionPool.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/ConnectionPool.kt
@@ -80,7 +80,8 @@
     private fun connect(exchange: Exchange) {
         open++
         val future = bootstrap.connect(address)
-        if (future.isDone) connected(future, exchange) else future.addListener { connected(future, exchange) }
+        // The caller of send gets its exchange before the first event.
+        if (future.isDone) eventLoop.execute { connected(future, exchange) } else future.addListener { connected(future, exchange) }
     }
 
     private fun connected(
@@ -97,7 +98,6 @@
         if (exchange.isDone) connection.becomeIdle() else connection.start(exchange)
     }
 
-    // The caller of send gets its exchange before the first event.
     private fun failLater(
         exchange: Exchange,
         kind: ExchangeFailure.Kind,
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/UpstreamConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/UpstreamConnection.kt
@@ -99,9 +99,11 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         reusable = false
-        if (!responseEnded) exchange?.failed(headSent, ExchangeFailure.Kind.CLOSED)
-        exchange = null
+        // The pool counts its open connections, so this one is taken out before a listener can fail.
         pool.removed(this)
+        val last = exchange
+        exchange = null
+        if (!responseEnded) last?.failed(headSent, ExchangeFailure.Kind.CLOSED)
     }
 
     override fun exceptionCaught(
