--- a/cli/src/main/kotlin/dev/lycheehill/cli/Main.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/Main.kt
@@ -7,18 +7,19 @@
 
 /** Runs the command line. */
 fun main(args: Array<String>) {
-    HttpClients.allowHostHeader()
     exitProcess(newCommandLine().execute(*args))
 }
 
 /** Returns the command line with all commands. */
-fun newCommandLine(): CommandLine =
-    CommandLine(LycheehillCommand())
+fun newCommandLine(): CommandLine {
+    HttpClients.allowHostHeader()
+    return CommandLine(LycheehillCommand())
         .setUsageHelpWidth(USAGE_WIDTH)
         .setCaseInsensitiveEnumValuesAllowed(true)
         .setExecutionExceptionHandler { exception, commandLine, _ ->
             commandLine.err.println("lycheehill: ${exception.message ?: exception.javaClass.simpleName}")
             ExitCode.FAILED
         }
+}
 
 private const val USAGE_WIDTH = 100
--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/ChangeCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/ChangeCommand.kt
@@ -31,6 +31,7 @@
         LogHistory.read(log.client()).fold(
             {
                 spec.commandLine().err.println("lycheehill: log ${log.address}: ${it.message}")
+                if (unreachable == ExitCode.NOT_KNOWN) spec.commandLine().out.println(NOTHING_SENT)
                 unreachable
             },
             action,
@@ -49,4 +50,8 @@
         out.flush()
         return result.exitCode
     }
+
+    private companion object {
+        const val NOTHING_SENT = "not known yet: this run sent nothing, but an earlier one may have; run it again when the log answers"
+    }
 }
--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
@@ -27,6 +27,7 @@
         DrainCommand::class,
         QuarantineCommand::class,
         TraceCommand::class,
+        MeasureCommand::class,
         CompletionCommand::class,
     ],
     exitCodeListHeading = "%nExit codes:%n",
