--- a/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeProcess.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeProcess.kt
@@ -31,7 +31,7 @@
 class NodeProcess(
     private val settings: NodeSettings,
     log: PlatformLog,
-    timers: TimerService,
+    private val timers: TimerService,
     seed: Long,
 ) {
     private val link = newLink()
