Give an order a new key after answers that it did not run

Cause: callers sent a key again whose home was killed. Until the homes had moved the answer was 'not run'; afterwards the key was older than the new homes and was answered 'may have run', as the rule for lost records asks. Ruled out: a shorter lease (the key would still be older) and a longer patience of the caller. Change: the caller of the demo takes a new key while all answers were 'not run'; CallerTest checks when a key changes.

--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/Caller.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/Caller.kt
@@ -14,7 +14,8 @@
  * Sends requests through its own node, as an application beside that node would.
  *
  * A `not run` answer is sent again after its hint. When the own node is gone, the caller uses another one. A request
- * with a key is sent again with the same key.
+ * with a key is sent again with the same key once it may have run. As long as all answers were `not run`, it gets a new
+ * key, whose home may be another target and whose time is later than a change of homes.
  *
  * @param addresses returns the `ip:port` of the nodes' egress listeners, the own node first.
  */
@@ -23,19 +24,22 @@
     private val addresses: () -> List<String>,
     private val http: HttpClient,
     private val patience: Duration = Duration.ofSeconds(12),
+    private val newKey: () -> String,
 ) {
     /** Sends [request] until it has a final answer or the caller's time is up. Blocks. */
     fun send(request: DemoRequest): RequestOutcome {
         val endNanos = System.nanoTime() + patience.toNanos()
         var nodeIndex = 0
         var last = RequestOutcome.NOT_RUN
+        var key = request.key
         while (System.nanoTime() < endNanos) {
             val nodes = addresses()
-            when (val step = attempt(request, nodes[nodeIndex % nodes.size], last)) {
+            when (val step = attempt(request, key, nodes[nodeIndex % nodes.size], last)) {
                 is Step.Done -> return step.outcome
                 is Step.Again -> {
                     last = step.outcomeSoFar
                     if (step.onOtherNode) nodeIndex++
+                    if (last == RequestOutcome.NOT_RUN) key = key?.let { newKey() }
                     TimeUnit.MILLISECONDS.sleep(step.afterMs)
                 }
             }
@@ -45,11 +49,12 @@
 
     private fun attempt(
         request: DemoRequest,
+        key: String?,
         node: String,
         soFar: RequestOutcome,
     ): Step =
         try {
-            judge(request, http.send(message(request, node), HttpResponse.BodyHandlers.ofString()), soFar)
+            judge(request, http.send(message(request, key, node), HttpResponse.BodyHandlers.ofString()), soFar)
         } catch (_: ConnectException) {
             Step.Again(soFar, OTHER_NODE_DELAY_MS, onOtherNode = true)
         } catch (_: IOException) {
@@ -79,6 +84,7 @@
 
     private fun message(
         request: DemoRequest,
+        key: String?,
         node: String,
     ): HttpRequest {
         val builder =
@@ -87,7 +93,7 @@
                 .timeout(RESPONSE_TIMEOUT)
                 .header("host", host)
                 .header("x-request-key", request.id)
-        request.key?.let { builder.header("idempotency-key", it).POST(HttpRequest.BodyPublishers.ofString("order ${request.id}")) }
+        key?.let { builder.header("idempotency-key", it).POST(HttpRequest.BodyPublishers.ofString("order ${request.id}")) }
         return builder.build()
     }
 
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.cli.client.HttpClients
 import java.io.PrintWriter
 import java.time.Duration
+import java.util.Random
 
 /** A whole mesh in this process, with callers, changes and faults, that checks what the project promises. */
 class Demo(
@@ -53,7 +54,9 @@
 
     private fun newLoad(mesh: DemoMesh): DemoLoad {
         val http = HttpClients.create(connectTimeout = Duration.ofSeconds(1))
-        val callers = mesh.live.map { own -> Caller(deployment.host, { mesh.egressAddresses(own) }, http) }
+        val keys = UuidV7(Random(seed + 2))
+        val newKey = { keys.next(System.currentTimeMillis()).toString() }
+        val callers = mesh.live.map { own -> Caller(deployment.host, { mesh.egressAddresses(own) }, http, newKey = newKey) }
         return DemoLoad(deployment, callers, tally, seed)
     }
 
--- a/cli/src/test/kotlin/dev/lycheehill/cli/demo/CallerTest.kt
+++ b/cli/src/test/kotlin/dev/lycheehill/cli/demo/CallerTest.kt
@@ -8,16 +8,17 @@
 import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
-import strikt.assertions.isTrue
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.time.Duration
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Guards against callers that lose a request, or call it a success without proof. Answers are `status/verdict/body`. */
 class CallerTest {
     private val server = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0)
     private val keys = CopyOnWriteArrayList<String>()
+    private val keyCount = AtomicInteger(1)
     private val address get() = "127.0.0.1:${server.address.port}"
 
     init {
@@ -48,14 +49,24 @@
         expected: RequestOutcome,
         attempts: Int,
     ) {
-        serve(answers.split(Regex(" (?=\\d{3}/)")))
+        val served = answers.split(Regex(" (?=\\d{3}/)"))
+        serve(served)
         val key = "k1".takeIf { kind == "order" }
 
         val outcome = caller { listOf(address) }.send(DemoRequest("r1", "/x", key))
 
         expectThat(outcome).isEqualTo(expected)
         if (attempts > 0) expectThat(keys.size).isEqualTo(attempts)
-        expectThat(keys.all { it == (key ?: "-") }).isTrue()
+        expectThat(keys.toList()).isEqualTo(expectedKeys(key, served))
+    }
+
+    /** A key is replaced only while all answers were `not run`; a new key after anything else could run the order twice. */
+    private fun expectedKeys(
+        key: String?,
+        served: List<String>,
+    ): List<String> {
+        val firstOther = served.indexOfFirst { "/not-run/" !in it }.takeIf { it >= 0 } ?: Int.MAX_VALUE
+        return keys.indices.map { attempt -> if (key == null) "-" else "k${minOf(attempt, firstOther) + 1}" }
     }
 
     @Test
@@ -68,7 +79,9 @@
     }
 
     private fun caller(addresses: () -> List<String>) =
-        Caller("bobbins.example", addresses, HttpClients.create(Duration.ofSeconds(1)), patience = Duration.ofMillis(1_500))
+        Caller("bobbins.example", addresses, HttpClients.create(Duration.ofSeconds(1)), patience = Duration.ofMillis(1_500), newKey = {
+            "k${keyCount.incrementAndGet()}"
+        })
 
     // The last answer is repeated.
     private fun serve(answers: List<String>) {
