--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/Caller.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/Caller.kt
@@ -39,7 +39,7 @@
                 is Step.Again -> {
                     last = step.outcomeSoFar
                     if (step.onOtherNode) nodeIndex++
-                    if (last == RequestOutcome.NOT_RUN) key = key?.let { newKey() }
+                    key = keyAfter(last, key)
                     TimeUnit.MILLISECONDS.sleep(step.afterMs)
                 }
             }
@@ -47,6 +47,11 @@
         return last
     }
 
+    private fun keyAfter(
+        outcomeSoFar: RequestOutcome,
+        key: String?,
+    ): String? = if (key != null && outcomeSoFar == RequestOutcome.NOT_RUN) newKey() else key
+
     private fun attempt(
         request: DemoRequest,
         key: String?,
