Give effect to the settings of leases and keys, and count keyed calls

Cause: node.lease_ms and limits.max_keys were checked and then ignored; meters of keys were not fed. Change: both settings are used, keyed calls and held keys are counted, and a closed new connection counts as a failure.

--- a/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeProcess.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/program/NodeProcess.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.cli.program
 
+import dev.lycheehill.calls.keys.KeySettings
 import dev.lycheehill.core.time.TimerService
 import dev.lycheehill.fleet.FleetAgent
 import dev.lycheehill.fleet.link.KtorLink
@@ -11,6 +12,7 @@
 import dev.lycheehill.node.DataPathSettings
 import dev.lycheehill.node.LycheehillNode
 import dev.lycheehill.node.keys.KeyHomes
+import dev.lycheehill.node.metrics.NodeMeter
 import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.quarantine.FleetEvidence
 import dev.lycheehill.node.settings.HostPort
@@ -54,7 +56,7 @@
     private val spans = OtelSpanRecorder(settings.nodeId, settings.zone, settings.tracing)
 
     private val appends = Executors.newSingleThreadExecutor { Thread(it, "key-homes-${settings.nodeId}").apply { isDaemon = true } }
-    private val keys = KeyHomes(agent, log, timers, appends)
+    private val keys = KeyHomes(agent, log, timers, appends, KeySettings(maxKeys = settings.limits.maxKeys))
     private val evidence = FleetEvidence(agent.messenger)
 
     private val node =
@@ -82,6 +84,7 @@
     /** Starts to serve and to follow the configuration. */
     fun start() {
         NodeGauges.bind(metrics, agent)
+        metrics.bindGauge(NodeMeter.KEYS) { keys.keyCount }
         node.start()
         egressAddress = HostPort(settings.addresses.egress.host, node.egressAddress.port)
         localApiAddress = HostPort(settings.addresses.localApi.host, node.apiAddress.port)
--- a/node/src/main/kotlin/dev/lycheehill/node/DataPathSettings.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/DataPathSettings.kt
@@ -19,6 +19,7 @@
  * @property maxConnections connections to one listener.
  * @property maxConnectionsPerPeer connections to one peer from one event loop.
  * @property drainTimeoutMs longest wait for calls in flight in a graceful shutdown.
+ * @property targetLeaseMs lease of a target that names none in its announcement.
  * @property seed seed of all random choices on the data path.
  */
 data class DataPathSettings(
@@ -38,6 +39,7 @@
     val maxConnections: Int = 4_096,
     val maxConnectionsPerPeer: Int = 110,
     val drainTimeoutMs: Long = 30_000,
+    val targetLeaseMs: Long = 5_000,
     val seed: Long = 1,
 ) {
     /** Conversion from the settings file. */
@@ -57,6 +59,7 @@
                 maxConnections = settings.limits.maxConnections,
                 maxConnectionsPerPeer = settings.limits.maxConnectionsPerTarget,
                 drainTimeoutMs = settings.shutdownMs.toLong(),
+                targetLeaseMs = settings.leaseMs.toLong(),
                 // Nodes make different random choices, and one node the same ones after a restart.
                 seed = settings.nodeId.hashCode().toLong(),
             )
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -135,7 +135,8 @@
         EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans, keys))
 
     private fun apiEndpoints(): List<ApiEndpoint> =
-        TargetEndpoints(target).all() + OperatorEndpoints(fleet, target, ::drain).all() + ShowEndpoints(fleet, router).all() +
+        TargetEndpoints(target, settings.targetLeaseMs).all() + OperatorEndpoints(fleet, target, ::drain).all() +
+            ShowEndpoints(fleet, router).all() +
             ObservationEndpoints(metrics, spans).all() + QuarantineEndpoints(quarantine, timers).all()
 
     private fun ingressHandler() =
--- a/node/src/main/kotlin/dev/lycheehill/node/api/TargetAnnouncement.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/api/TargetAnnouncement.kt
@@ -36,26 +36,31 @@
     companion object {
         private val FIELDS = setOf("service", "address", "state", "slots", "lease_ms")
 
-        /** Reads the JSON [text], or returns what is wrong with it. */
-        fun parse(text: String): Either<String, TargetAnnouncement> =
+        /** Reads the JSON [text], or returns what is wrong with it. [defaultLeaseMs] holds for a target that names no lease. */
+        fun parse(
+            text: String,
+            defaultLeaseMs: Long,
+        ): Either<String, TargetAnnouncement> =
             ApiJson.readObject(text, FIELDS).flatMap { node ->
-                val announcement = read(node)
+                val announcement = read(node, defaultLeaseMs)
                 announcement.fault()?.left() ?: announcement.right()
             }
 
         // A missing or malformed value becomes one that fault() refuses.
-        private fun read(node: JsonNode): TargetAnnouncement {
+        private fun read(
+            node: JsonNode,
+            defaultLeaseMs: Long,
+        ): TargetAnnouncement {
             val state = node.path("state").asText("READY")
             return TargetAnnouncement(
                 service = node.path("service").asText(""),
                 address = node.path("address").asText(""),
                 state = MemberState.entries.firstOrNull { it.name == state } ?: MemberState.GONE,
                 slots = node.path("slots").asInt(0),
-                leaseMs = if (node.has("lease_ms")) node.path("lease_ms").asLong(0) else DEFAULT_LEASE_MS,
+                leaseMs = if (node.has("lease_ms")) node.path("lease_ms").asLong(0) else defaultLeaseMs,
             )
         }
 
-        private const val DEFAULT_LEASE_MS = 5_000L
         private val ADDRESS = Regex("""[0-9.]+:\d{1,5}|\[[0-9a-fA-F:]+]:\d{1,5}""")
         private val ANNOUNCED = setOf(MemberState.COLD, MemberState.READY, MemberState.DRAINING)
         private val LEASE_RANGE_MS = 100L..60_000L
--- a/node/src/main/kotlin/dev/lycheehill/node/api/TargetEndpoints.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/api/TargetEndpoints.kt
@@ -7,6 +7,7 @@
 /** Endpoints for the backend server beside the node. */
 internal class TargetEndpoints(
     private val target: LocalTarget,
+    private val defaultLeaseMs: Long,
 ) {
     fun all(): List<ApiEndpoint> =
         listOf(
@@ -15,7 +16,10 @@
             ApiEndpoint(HttpMethod.DELETE, "/v1/target") { withdraw() },
         )
 
-    private fun announce(body: String): ApiResponse = TargetAnnouncement.parse(body).fold({ ApiResponse.error(400, it) }, ::announce)
+    private fun announce(body: String): ApiResponse =
+        TargetAnnouncement.parse(body, defaultLeaseMs).fold({
+            ApiResponse.error(400, it)
+        }, ::announce)
 
     private fun announce(announcement: TargetAnnouncement): ApiResponse {
         target.announce(
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -20,6 +20,7 @@
 import dev.lycheehill.node.http.NodeResponses
 import dev.lycheehill.node.keys.StoredAnswer
 import dev.lycheehill.node.loop.LoopContext
+import dev.lycheehill.node.metrics.KeyedAnswer
 import dev.lycheehill.node.metrics.ShedReason
 import dev.lycheehill.node.relay.CollectedResponse
 import dev.lycheehill.node.relay.CollectorListener
@@ -174,7 +175,10 @@
             return
         }
         when (val decision = keyed?.begin()) {
-            null, is KeyDecision.Execute -> execute(registration.address, nowNanos)
+            null, is KeyDecision.Execute -> {
+                if (decision != null) environment.metrics.keyedCall(KeyedAnswer.EXECUTED)
+                execute(registration.address, nowNanos)
+            }
             is KeyDecision.Replay -> replay(StoredAnswer.decode(decision.response), nowNanos)
             is KeyDecision.Refuse -> refuse(decision, nowNanos)
         }
@@ -253,6 +257,7 @@
         nowNanos: Long,
     ) {
         stage = Stage.DONE
+        environment.metrics.keyedCall(KeyedAnswer.STORED)
         environment.admission.onFinish(admitted, nowNanos, succeeded = false)
         val status = HttpResponseStatus.valueOf(answer.status)
         endSpan(Verdict.RAN, status, KeyRefusal.REPEATED.headerValue)
@@ -267,6 +272,7 @@
         nowNanos: Long,
     ) {
         stage = Stage.DONE
+        environment.metrics.keyedCall(KeyedAnswer.of(refusal.verdict))
         environment.admission.onFinish(admitted, nowNanos, succeeded = false)
         val status = if (refusal.verdict == Verdict.NOT_RUN) HttpResponseStatus.SERVICE_UNAVAILABLE else HttpResponseStatus.CONFLICT
         val reason = refusal.reason.headerValue
--- a/node/src/main/kotlin/dev/lycheehill/node/keys/KeyHomes.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/keys/KeyHomes.kt
@@ -5,6 +5,7 @@
 import dev.lycheehill.calls.keys.HomeEpoch
 import dev.lycheehill.calls.keys.KeyDecision
 import dev.lycheehill.calls.keys.KeyHash
+import dev.lycheehill.calls.keys.KeySettings
 import dev.lycheehill.calls.keys.KeyToken
 import dev.lycheehill.calls.keys.KeyedRequests
 import dev.lycheehill.calls.keys.VoucherRequest
@@ -33,9 +34,10 @@
     private val log: PlatformLog,
     private val timers: TimerService,
     private val worker: Executor,
+    settings: KeySettings = KeySettings(),
 ) : KeyGate {
     private val self = agent.self
-    private val requests = KeyedRequests(self.nodeId, self.bootId, timers.wallMillis())
+    private val requests = KeyedRequests(self.nodeId, self.bootId, timers.wallMillis(), settings)
     private val proposer = HomeProposer(self.nodeId, requests::mayPropose)
     private val epochs = ConcurrentHashMap<String, Versioned>()
     private val wanted = ConcurrentHashMap.newKeySet<String>()
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/ConnectionPool.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/ConnectionPool.kt
@@ -88,7 +88,8 @@
         future: ChannelFuture,
         exchange: Exchange,
     ) {
-        if (!future.isSuccess) {
+        // A channel that was closed before the handler is added reports no end to it, and would stay counted as open.
+        if (!future.isSuccess || !future.channel().isActive) {
             open--
             exchange.failed(sent = false, kind = ExchangeFailure.Kind.CONNECT)
             return
