--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -11,10 +11,8 @@
 import dev.lycheehill.calls.verdict.RetryAllowance
 import dev.lycheehill.config.model.Priority
 import dev.lycheehill.core.Verdict
-import dev.lycheehill.node.egress.LoadHeader
 import dev.lycheehill.node.egress.TraceIds
 import dev.lycheehill.node.http.CallHeaders
-import dev.lycheehill.node.http.HeaderRules
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.http.InboundCallListener
 import dev.lycheehill.node.http.NodeResponses
@@ -30,8 +28,6 @@
 import dev.lycheehill.node.upstream.ExchangeFailure
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpRequest
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
@@ -65,6 +61,7 @@
     private val arrivedNanos = System.nanoTime()
     private val fingerprint = environment.crashes.fingerprintOf(call)
     private val keyed = KeyedRun.of(environment.keys, call.headers)
+    private val headers = IngressHeaders(environment, call)
     private var stage = Stage.WAITING
     private var collector: ResponseCollector? = null
     private var streaming = false
@@ -117,15 +114,15 @@
     }
 
     override fun onWhole(response: CollectedResponse) {
-        val headers = peerHeaders(response.headers, ended(Verdict.RAN, response))
+        val answerHeaders = headers.toPeer(response.headers, ended(Verdict.RAN, response))
         endSpan(Verdict.RAN, response.status, null)
         environment.crashes.succeeded(fingerprint)
-        call.respond(response.status, headers, response.body)
+        call.respond(response.status, answerHeaders, response.body)
     }
 
     override fun onTooLong(collector: ResponseCollector) {
         streaming = true
-        collector.streamTo(call, peerHeaders(collector.head.headers(), unusedRetries = 0))
+        collector.streamTo(call, headers.toPeer(collector.head.headers(), unusedRetries = 0))
     }
 
     override fun onStreamed() {
@@ -203,7 +200,7 @@
         val remainingMs = deadline.remainingMs(nowNanos)
         timer = loop.eventLoop.schedule(::onDeadline, deadline.remainingNanos(nowNanos), TimeUnit.NANOSECONDS)
         val progressMs = minOf(remainingMs, call.headers.get(CallHeaders.PROGRESS_MS)?.toLongOrNull() ?: remainingMs)
-        val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri, backendHeaders(remainingMs))
+        val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri, headers.toBackend(remainingMs, span.traceparent))
         val next = ResponseCollector(environment.settings.maxBufferedResponseBytes, expectedCallId = null, listener = this)
         collector = next
         next.exchange = loop.upstreams.pool(address).send(head, call.body.retainedDuplicate(), progressMs, next)
@@ -261,10 +258,7 @@
         environment.admission.onFinish(admitted, nowNanos, succeeded = false)
         val status = HttpResponseStatus.valueOf(answer.status)
         endSpan(Verdict.RAN, status, KeyRefusal.REPEATED.headerValue)
-        val headers = peerHeaders(HeaderRules.newHeaders(), unusedRetries = 0)
-        headers.set(CallHeaders.REASON, KeyRefusal.REPEATED.headerValue)
-        if (answer.contentType.isNotEmpty()) headers.set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
-        call.respond(status, headers, Unpooled.wrappedBuffer(answer.body))
+        call.respond(status, headers.ofStored(answer), Unpooled.wrappedBuffer(answer.body))
     }
 
     private fun refuse(
@@ -277,7 +271,7 @@
         val status = if (refusal.verdict == Verdict.NOT_RUN) HttpResponseStatus.SERVICE_UNAVAILABLE else HttpResponseStatus.CONFLICT
         val reason = refusal.reason.headerValue
         endSpan(refusal.verdict, status, reason)
-        NodeResponses.giveUp(call, status, refusal.verdict, reason, retryAfterMs = refusal.retryAfterMs, extra = ::setLoad)
+        NodeResponses.giveUp(call, status, refusal.verdict, reason, retryAfterMs = refusal.retryAfterMs, extra = headers::setLoad)
     }
 
     private fun refuse(rejection: AdmissionResult.Rejected) {
@@ -309,32 +303,7 @@
     ) {
         stage = Stage.DONE
         endSpan(Verdict.NOT_RUN, status, reason)
-        NodeResponses.giveUp(call, status, Verdict.NOT_RUN, reason, retryAfterMs = retryAfterMs, extra = ::setLoad)
-    }
-
-    private fun backendHeaders(remainingMs: Long): HttpHeaders {
-        val headers = HeaderRules.endToEnd(call.headers)
-        HeaderRules.setLength(headers, call)
-        headers.set(CallHeaders.DEADLINE_MS, remainingMs.toString())
-        if (span.traceparent.isNotEmpty()) headers.set(CallHeaders.TRACEPARENT, span.traceparent)
-        call.headers.get(CallHeaders.RETRIES_LEFT)?.let { headers.set(CallHeaders.RETRIES_LEFT, it) }
-        return headers
-    }
-
-    private fun peerHeaders(
-        source: HttpHeaders,
-        unusedRetries: Int,
-    ): HttpHeaders {
-        val headers = HeaderRules.endToEnd(source)
-        headers.set(CallHeaders.VERDICT, Verdict.RAN.headerValue)
-        headers.set(CallHeaders.RETRIES_LEFT, unusedRetries.toString())
-        call.headers.get(CallHeaders.CALL_ID)?.let { headers.set(CallHeaders.CALL_ID, it) }
-        setLoad(headers)
-        return headers
-    }
-
-    private fun setLoad(headers: HttpHeaders) {
-        headers.set(CallHeaders.LOAD, LoadHeader.format(environment.admission.inFlight, environment.target.meanLatencyNanos))
+        NodeResponses.giveUp(call, status, Verdict.NOT_RUN, reason, retryAfterMs = retryAfterMs, extra = headers::setLoad)
     }
 
     private inline fun <reified T : Enum<T>> enumHeader(
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressHeaders.kt
@@ -0,0 +1,56 @@
+package dev.lycheehill.node.ingress
+
+import dev.lycheehill.calls.keys.KeyRefusal
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.node.egress.LoadHeader
+import dev.lycheehill.node.http.CallHeaders
+import dev.lycheehill.node.http.HeaderRules
+import dev.lycheehill.node.http.InboundCall
+import dev.lycheehill.node.keys.StoredAnswer
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+
+/** Headers of one ingress call towards the backend server and back to the caller's node. */
+internal class IngressHeaders(
+    private val environment: IngressEnvironment,
+    private val call: InboundCall,
+) {
+    /** Headers of the request to the backend server. */
+    fun toBackend(
+        remainingMs: Long,
+        traceparent: String,
+    ): HttpHeaders {
+        val headers = HeaderRules.endToEnd(call.headers)
+        HeaderRules.setLength(headers, call)
+        headers.set(CallHeaders.DEADLINE_MS, remainingMs.toString())
+        if (traceparent.isNotEmpty()) headers.set(CallHeaders.TRACEPARENT, traceparent)
+        call.headers.get(CallHeaders.RETRIES_LEFT)?.let { headers.set(CallHeaders.RETRIES_LEFT, it) }
+        return headers
+    }
+
+    /** Headers of the response to the caller's node; [source] are those of the backend server. */
+    fun toPeer(
+        source: HttpHeaders,
+        unusedRetries: Int,
+    ): HttpHeaders {
+        val headers = HeaderRules.endToEnd(source)
+        headers.set(CallHeaders.VERDICT, Verdict.RAN.headerValue)
+        headers.set(CallHeaders.RETRIES_LEFT, unusedRetries.toString())
+        call.headers.get(CallHeaders.CALL_ID)?.let { headers.set(CallHeaders.CALL_ID, it) }
+        setLoad(headers)
+        return headers
+    }
+
+    /** Headers of a stored answer that is given again. */
+    fun ofStored(answer: StoredAnswer): HttpHeaders {
+        val headers = toPeer(HeaderRules.newHeaders(), unusedRetries = 0)
+        headers.set(CallHeaders.REASON, KeyRefusal.REPEATED.headerValue)
+        if (answer.contentType.isNotEmpty()) headers.set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+        return headers
+    }
+
+    /** Adds the load of the target. */
+    fun setLoad(headers: HttpHeaders) {
+        headers.set(CallHeaders.LOAD, LoadHeader.format(environment.admission.inFlight, environment.target.meanLatencyNanos))
+    }
+}
