Hash a request for the quarantine only when needed

Change: the fingerprint is computed on demand; CrashQuarantine.isWatching tells whether any entry exists. It is computed before the probe of a crashed backend server, since the body is released when the caller goes. Result: the tests of quarantine, crash requests, verdicts, at-most-once, drain and invalid input pass, with ktlint and detekt of calls and node. The saving was not measured.

--- a/calls/src/main/kotlin/dev/lycheehill/calls/quarantine/CrashQuarantine.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/quarantine/CrashQuarantine.kt
@@ -17,6 +17,11 @@
     @Volatile
     private var isEmpty = true
 
+    /** Whether any request is suspected or refused. While this is false, no fingerprint needs to be computed. */
+    @Volatile
+    var isWatching = false
+        private set
+
     /** Whether a request with [fingerprint] is refused now. */
     fun isQuarantined(
         fingerprint: RequestFingerprint,
@@ -38,6 +43,7 @@
     ): Boolean {
         if (nowMs - evidence.crashedAtMs > settings.suspicionMs) return false
         if ((lifted[evidence.fingerprint] ?: Long.MIN_VALUE) >= evidence.crashedAtMs) return false
+        isWatching = true
         val crashes = suspects.getOrPut(evidence.fingerprint) { HashMap() }
         val known = crashes[evidence.nodeId]
         if (known != null && known >= evidence.crashedAtMs) return false
@@ -90,6 +96,7 @@
         successes.values.removeIf { nowMs - it > settings.successRetentionMs }
         lifted.values.removeIf { nowMs - it > settings.suspicionMs }
         isEmpty = quarantined.isEmpty()
+        isWatching = !isEmpty || suspects.isNotEmpty()
     }
 
     private fun judge(
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -59,7 +59,9 @@
     private val treeId = TraceIds.treeOf(call.headers)
     private val span = environment.spans.start(Hop.INGRESS, call.headers.get(CallHeaders.TRACEPARENT))
     private val arrivedNanos = System.nanoTime()
-    private val fingerprint = environment.crashes.fingerprintOf(call)
+
+    // Most calls end without a crash and without a suspected request, so the hash is computed on demand.
+    private val fingerprint by lazy(LazyThreadSafetyMode.NONE) { environment.crashes.fingerprintOf(call) }
     private val keyed = KeyedRun.of(environment.keys, call.headers)
     private val headers = IngressHeaders(environment, call)
     private var stage = Stage.WAITING
@@ -75,7 +77,7 @@
             refuse(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline", null)
             return
         }
-        if (environment.crashes.isQuarantined(fingerprint)) {
+        if (environment.crashes.isWatching && environment.crashes.isQuarantined(fingerprint)) {
             environment.metrics.shed(ShedReason.QUARANTINED)
             refuse(HttpResponseStatus.UNPROCESSABLE_ENTITY, "quarantined", null)
             return
@@ -116,7 +118,7 @@
     override fun onWhole(response: CollectedResponse) {
         val answerHeaders = headers.toPeer(response.headers, ended(Verdict.RAN, response))
         endSpan(Verdict.RAN, response.status, null)
-        environment.crashes.succeeded(fingerprint)
+        if (environment.crashes.isWatching) environment.crashes.succeeded(fingerprint)
         call.respond(response.status, answerHeaders, response.body)
     }
 
@@ -222,8 +224,10 @@
     // waits for the evidence, so that a caller that sends the request again finds it refused.
     private fun reportCrashIfDown(then: () -> Unit) {
         val address = environment.target.registration()?.address ?: return then()
+        // Computed before the probe, because the body is released when the caller goes.
+        val crashed = fingerprint
         loop.upstreams.probe(address) { accepts ->
-            if (!accepts) environment.crashes.crashed(fingerprint)
+            if (!accepts) environment.crashes.crashed(crashed)
             then()
         }
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/quarantine/CrashWatch.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/quarantine/CrashWatch.kt
@@ -15,6 +15,9 @@
     private val fleet: FleetView,
     private val timers: TimerService,
 ) {
+    /** Whether any request is suspected or refused. */
+    val isWatching: Boolean get() = quarantine.isWatching
+
     fun fingerprintOf(call: InboundCall): RequestFingerprint {
         val prefix = ByteArray(minOf(call.body.readableBytes(), RequestFingerprint.BODY_PREFIX_BYTES))
         call.body.getBytes(call.body.readerIndex(), prefix)
