--- /dev/null
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/UrgencyQueue.kt
@@ -0,0 +1,58 @@
+package dev.lycheehill.calls.admission
+
+/** Waiting calls in order of urgency: child calls, then by priority, then late ones; each in order of arrival. Not thread-safe. */
+internal class UrgencyQueue {
+    private val levels = Array(LEVELS) { ArrayDeque<AdmissionCall>() }
+
+    var size = 0
+        private set
+
+    fun add(call: AdmissionCall) {
+        levels[levelOf(call, call.late)].addLast(call)
+        size++
+    }
+
+    fun remove(call: AdmissionCall): Boolean {
+        val removed = levels[levelOf(call, call.late)].remove(call)
+        if (removed) size--
+        return removed
+    }
+
+    /** Takes the most urgent call, or returns null when none waits. */
+    fun next(): AdmissionCall? {
+        if (size == 0) return null
+        size--
+        return levels.first { it.isNotEmpty() }.removeFirst()
+    }
+
+    /** Sum of [work] over the calls that would start before [call] if it were added now. */
+    fun ahead(
+        call: AdmissionCall,
+        late: Boolean,
+        work: (AdmissionCall) -> Double,
+    ): Double {
+        var sum = 0.0
+        for (level in 0..levelOf(call, late)) for (waiting in levels[level]) sum += work(waiting)
+        return sum
+    }
+
+    /** Takes all calls for which [condition] holds. */
+    fun takeIf(condition: (AdmissionCall) -> Boolean): List<AdmissionCall> {
+        if (size == 0) return emptyList()
+        val taken = levels.flatMap { level -> level.filter(condition) }
+        taken.forEach(::remove)
+        return taken
+    }
+
+    private fun levelOf(
+        call: AdmissionCall,
+        late: Boolean,
+    ): Int {
+        val level = if (call.isChild) 0 else 1 + call.priority.ordinal
+        return if (late) level + LEVELS / 2 else level
+    }
+
+    private companion object {
+        val LEVELS = 2 * (1 + CallPriority.entries.size)
+    }
+}
--- a/calls/src/main/kotlin/dev/lycheehill/calls/balancing/LoadAwarePicker.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/balancing/LoadAwarePicker.kt
@@ -75,7 +75,7 @@
         when (outcome) {
             AttemptOutcome.SUCCESS -> state.onSuccess(nowNanos, latencyNanos)
             AttemptOutcome.SHED -> state.onShed(nowNanos)
-            AttemptOutcome.FAILURE -> state.onFailure(nowNanos, latencyNanos)
+            AttemptOutcome.FAILURE, AttemptOutcome.UNREACHABLE -> state.onFailure(nowNanos, latencyNanos)
             AttemptOutcome.CANCELLED -> state.onCancelled(nowNanos, latencyNanos)
         }
         judge(state, nowNanos, latencyNanos, outcome)
@@ -140,7 +140,7 @@
         latencyNanos: Long,
         outcome: AttemptOutcome,
     ) {
-        val failed = outcome == AttemptOutcome.FAILURE
+        val failed = outcome == AttemptOutcome.FAILURE || outcome == AttemptOutcome.UNREACHABLE
         if (!failed && outcome != AttemptOutcome.SUCCESS) return
         if (!failed && !state.ejection.needsSuccess()) return
         synchronized(this) {
--- a/calls/src/main/kotlin/dev/lycheehill/calls/verdict/BudgetedRetryPolicy.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/verdict/BudgetedRetryPolicy.kt
@@ -2,10 +2,15 @@
 
 import dev.lycheehill.core.Verdict
 
-/** Retries elsewhere within the attempts, the deadline, the call tree's allowance and the budget of the service. */
+/**
+ * Retries elsewhere within the attempts, the deadline, the call tree's allowance and the budget of the service.
+ *
+ * A call that reached no backend server may be moved up to [maxMoves] times without any of these but the deadline.
+ */
 class BudgetedRetryPolicy(
     private val budget: RetryBudget = RetryBudget(),
     private val defaultRetryAfterMs: Long = 1_000,
+    private val maxMoves: Int = 0,
 ) : RetryPolicy {
     override fun onCall(nowNanos: Long) = budget.onCall(nowNanos)
 
@@ -13,10 +18,16 @@
         attempt: FailedAttempt,
         nowNanos: Long,
     ): RetryDecision {
+        if (mayMove(attempt, nowNanos)) return RetryDecision.Elsewhere(delayMs = 0, isMove = true)
         val reason = giveUpReason(attempt, nowNanos)
         return if (reason == null) RetryDecision.Elsewhere(delayMs = 0) else final(attempt, reason)
     }
 
+    private fun mayMove(
+        attempt: FailedAttempt,
+        nowNanos: Long,
+    ): Boolean = !attempt.arrived && attempt.repeatable && attempt.moves < maxMoves && !attempt.deadline.isExpired(nowNanos)
+
     // The budget is asked before the allowance, and a unit taken from the budget is not returned when the allowance
     // is used up concurrently: that can only make retries fewer.
     private fun giveUpReason(
@@ -24,7 +35,7 @@
         nowNanos: Long,
     ): GiveUpReason? =
         when {
-            attempt.verdict == Verdict.RAN -> GiveUpReason.ANSWERED
+            attempt.verdict == Verdict.RAN && !(attempt.serverError && attempt.idempotent) -> GiveUpReason.ANSWERED
             attempt.verdict == Verdict.MAY_HAVE_RUN && !attempt.idempotent -> GiveUpReason.MAY_HAVE_RUN
             !attempt.repeatable -> GiveUpReason.REFUSED
             attempt.deadline.isExpired(nowNanos) -> GiveUpReason.DEADLINE
--- a/calls/src/main/kotlin/dev/lycheehill/calls/verdict/FailedAttempt.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/verdict/FailedAttempt.kt
@@ -6,6 +6,9 @@
  * An attempt that ended without a usable answer.
  *
  * @property number 1 for the first attempt of the call.
+ * @property serverError whether the backend server ran the request and answered with a server error.
+ * @property arrived whether the request reached a backend server, which counts against the budget of the service.
+ * @property moves how often the call has been moved without reaching a backend server.
  * @property repeatable false when no other target can change the outcome, as for a quarantined request.
  * @property earlier least favourable verdict of the earlier attempts of the call.
  * @property retryAfterMs hint of the target's node, if it gave one.
@@ -20,6 +23,9 @@
     val repeatable: Boolean = true,
     val retryAfterMs: Long? = null,
     val earlier: Verdict = Verdict.NOT_RUN,
+    val serverError: Boolean = false,
+    val arrived: Boolean = true,
+    val moves: Int = 0,
 ) {
     /** Verdict of the whole call: an attempt that did not run does not undo an earlier one that may have run. */
     val callVerdict: Verdict get() = if (verdict == Verdict.NOT_RUN) earlier else verdict
--- a/calls/src/main/kotlin/dev/lycheehill/calls/verdict/RetryDecision.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/verdict/RetryDecision.kt
@@ -4,9 +4,14 @@
 
 /** What happens after an attempt that brought no usable answer. */
 sealed interface RetryDecision {
-    /** Try another target after [delayMs]; the retry is already counted. */
+    /**
+     * Try another target after [delayMs]; the retry is already counted.
+     *
+     * @property isMove whether the call reached no backend server, so that this is no retry.
+     */
     data class Elsewhere(
         val delayMs: Long,
+        val isMove: Boolean = false,
     ) : RetryDecision
 
     /**
--- a/config/src/main/kotlin/dev/lycheehill/config/model/ContentHash.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/model/ContentHash.kt
@@ -45,5 +45,6 @@
         number(route.maxAttempts)
         text(route.cost.name)
         text(route.keyDomain.orEmpty())
+        route.aimMs?.let { number(it) }
     }
 }
--- a/config/src/main/kotlin/dev/lycheehill/config/route/RouteTable.kt
+++ b/config/src/main/kotlin/dev/lycheehill/config/route/RouteTable.kt
@@ -6,6 +6,8 @@
 /**
  * Finds the route of a request. Immutable; built once for each version.
  *
+ * A path prefix that ends with a slash matches the paths that begin with it; any other one ends on a segment boundary.
+ *
  * Matching routes are ordered: an exact host before `*`, then the longest path prefix, then a route with methods before
  * one without, then by name.
  */
@@ -38,14 +40,15 @@
         }
     }
 
-    // The prefixes of a path on segment boundaries, longest first: /a/b, /a, /.
+    // The prefixes of a path on segment boundaries, longest first: /a/b, /a/, /a, /. A prefix that ends with a slash
+    // matches only paths below it.
     private fun prefixesOf(path: String): Sequence<String> =
         generateSequence(path) { prefix ->
             val slash = prefix.lastIndexOf('/')
             when {
-                slash > 0 -> prefix.substring(0, slash)
-                prefix.length > 1 && slash == 0 -> "/"
-                else -> null
+                slash < 0 || prefix.length == 1 -> null
+                slash < prefix.length - 1 -> prefix.substring(0, slash + 1)
+                else -> prefix.substring(0, slash)
             }
         }
 
--- /dev/null
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/PeerChannel.kt
@@ -0,0 +1,23 @@
+package dev.lycheehill.fleet.store
+
+/** Messages between nodes. Sending does not block, and beacons may be lost. */
+interface PeerChannel {
+    /** Receives beacons. */
+    var onBeacon: (Beacon) -> Unit
+
+    /** Answers the requests of other nodes. */
+    var onRequest: (SyncRequest) -> SyncReply
+
+    /** Sends [beacon] to the node at [address], written as `ip:port`. */
+    fun send(
+        address: String,
+        beacon: Beacon,
+    )
+
+    /** Asks the node at [address]. The listener gets null when no answer came. */
+    fun ask(
+        address: String,
+        request: SyncRequest,
+        listener: (SyncReply?) -> Unit,
+    )
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublication.kt
@@ -0,0 +1,55 @@
+package dev.lycheehill.fleet.store
+
+import dev.lycheehill.core.time.TimerService
+import dev.lycheehill.fleet.membership.MemberRecord
+import dev.lycheehill.platformlog.Backoff
+import dev.lycheehill.platformlog.keyed.KeyedStore
+import dev.lycheehill.platformlog.keyed.KeyedTopic
+import dev.lycheehill.platformlog.keyed.StoreError
+import kotlin.random.Random
+
+/**
+ * Writes the newest record of this node to the store until the store has acknowledged it.
+ *
+ * One write is in progress at a time. A write without an answer may still take effect later; readers keep the record with
+ * the higher incarnation, so the order does not matter.
+ */
+internal class RecordPublication(
+    private val store: KeyedStore,
+    private val timers: TimerService,
+    private val settings: StoreFleetSettings,
+    random: Random,
+    private val onChange: (FleetChange) -> Unit,
+) {
+    private val backoff = Backoff(random, capMs = settings.retryMs)
+    private var wanted: MemberRecord? = null
+    private var writing = false
+    private var failures = 0
+
+    /** Writes [record] and forgets an older one that is not written yet. */
+    fun publish(record: MemberRecord) {
+        wanted = record
+        if (!writing) write(record)
+    }
+
+    private fun write(record: MemberRecord) {
+        writing = true
+        store.put(KeyedTopic.MEMBERS, record.nodeId, MemberCodec.encode(record)) { result ->
+            result.fold(::failed) { written(record) }
+        }
+    }
+
+    private fun written(record: MemberRecord) {
+        if (failures > 0) onChange(FleetChange.RecordWritten(record.incarnation, failures))
+        failures = 0
+        writing = false
+        val newer = wanted
+        if (newer == record) wanted = null else newer?.let(::write)
+    }
+
+    private fun failed(error: StoreError) {
+        if (failures == 0) onChange(FleetChange.RecordNotWritten(error.reason))
+        failures++
+        timers.after(backoff.delayMs(failures)) { wanted?.let(::write) }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -0,0 +1,188 @@
+package dev.lycheehill.fleet.store
+
+import dev.lycheehill.config.fold.FoldState
+import dev.lycheehill.config.model.ConfigContent
+import dev.lycheehill.core.time.Subscription
+import dev.lycheehill.core.time.TimerService
+import dev.lycheehill.core.time.nowMs
+import dev.lycheehill.fleet.FleetView
+import dev.lycheehill.fleet.InForceReport
+import dev.lycheehill.fleet.membership.MemberRecord
+import dev.lycheehill.fleet.membership.MemberState
+import dev.lycheehill.platformlog.keyed.KeyedRecord
+import dev.lycheehill.platformlog.keyed.KeyedStore
+import dev.lycheehill.platformlog.keyed.KeyedTopic
+import dev.lycheehill.platformlog.keyed.StoreError
+import dev.lycheehill.platformlog.keyed.TopicFollower
+import kotlin.random.Random
+
+/**
+ * One node's part in a fleet that meets at the platform's store.
+ *
+ * Configurations and member records last at the store. Each node follows both topics. Besides, nodes send each other
+ * beacons with their own record, their version and a hash of their table; a node that finds itself behind asks the
+ * sender. So a node that the store turns away, and a zone that is cut off from it, still get what another node has.
+ *
+ * All functions are called on the thread of [timers] but the reads of [FleetView], which take no lock.
+ *
+ * @param onChange told what this node believes anew, for the log.
+ */
+class StoreFleet(
+    identity: MemberRecord,
+    private val store: KeyedStore,
+    private val decode: ConfigurationDecoder,
+    private val peers: PeerChannel,
+    private val timers: TimerService,
+    private val settings: StoreFleetSettings = StoreFleetSettings(),
+    seed: Long,
+    private val onChange: (FleetChange) -> Unit = {},
+) : FleetView {
+    private val random = Random(seed)
+    private val members = ObservedMembers(identity, timers, settings)
+    private val publication = RecordPublication(store, timers, settings, random, onChange)
+    private val beacons = BeaconSchedule(settings, random)
+    private val configurations = follower(KeyedTopic.CONFIGURATION, ::configurationRead)
+    private val records = follower(KeyedTopic.MEMBERS, ::recordRead)
+    private var subscription: Subscription? = null
+    private var syncing = false
+
+    @Volatile
+    private var state = FoldState.initial()
+
+    override val self: MemberRecord get() = members.self
+
+    /** Whether this node has a configuration and has read the members once, from the store or from another node. */
+    val isReady: Boolean get() = state.version > 0 && (records.isCaughtUp || members.hasPeers)
+
+    /** Whether the last call to the store failed. */
+    val isStoreLost: Boolean get() = configurations.isLost || records.isLost
+
+    override fun members(): Map<String, MemberRecord> = members.view
+
+    override fun foldState(): FoldState = state
+
+    override fun inForce(version: Long): InForceReport = members.inForce(version, state.version)
+
+    /** Starts to follow the store and to send beacons. */
+    fun start() {
+        peers.onBeacon = ::beaconReceived
+        peers.onRequest = ::answer
+        configurations.start()
+        records.start()
+        publication.publish(self)
+        subscription = timers.every(settings.beaconMs, ::tick)
+    }
+
+    /** Tells all that this node has left, and ends. */
+    fun leave() {
+        announce(MemberState.GONE)
+        stop()
+    }
+
+    /** Ends at once. */
+    fun stop() {
+        subscription?.cancel()
+        configurations.stop()
+        records.stop()
+    }
+
+    override fun announce(
+        state: MemberState,
+        service: String,
+        slots: Int,
+    ) {
+        members.announce(state, service, slots)
+        publishSelf()
+    }
+
+    private fun publishSelf() {
+        publication.publish(self)
+        val beacon = beacon()
+        members.peers().forEach { peers.send(it.controlAddress, beacon) }
+    }
+
+    private fun tick() {
+        members.review()
+        val beacon = beacon()
+        beacons.next(members.peers()).forEach { peers.send(it.controlAddress, beacon) }
+    }
+
+    private fun beacon() = Beacon(self, state.version, members.hash())
+
+    private fun beaconReceived(beacon: Beacon) {
+        val sender = beacon.sender
+        if (sender.nodeId == self.nodeId) return
+        merge(sender)
+        members.heard(sender.nodeId, beacon.version)
+        if (isBehind(beacon)) later { if (isBehind(beacon)) askFor(sender) }
+    }
+
+    // Usually the store tells this node at the same time, so a node that reaches it waits for a moment.
+    private fun later(task: () -> Unit) {
+        if (isStoreLost || !isReady) task() else timers.after(settings.syncDelayMs, task)
+    }
+
+    private fun isBehind(beacon: Beacon): Boolean =
+        beacon.version > state.version || ((isStoreLost || !isReady) && beacon.tableHash != members.hash())
+
+    private fun askFor(sender: MemberRecord) {
+        if (syncing) return
+        syncing = true
+        peers.ask(sender.controlAddress, SyncRequest(self, state.version, members.hash())) { reply ->
+            syncing = false
+            if (reply != null) {
+                reply.members.forEach(::merge)
+                reply.content?.let { apply(reply.version, it, "node ${sender.nodeId}") }
+            }
+        }
+    }
+
+    private fun answer(request: SyncRequest): SyncReply {
+        merge(request.sender)
+        return SyncReply(
+            version = state.version,
+            content = state.content.takeIf { state.version > request.version },
+            members = if (request.tableHash == members.hash()) emptyList() else members.all(),
+        )
+    }
+
+    private fun configurationRead(record: KeyedRecord) {
+        val value = record.value ?: return
+        decode.decode(record.key, value).fold({ onChange(FleetChange.ConfigurationUnreadable(record.offset, it)) }) {
+            if (it != null) apply(it.version, it.content, "store offset ${record.offset}")
+        }
+    }
+
+    private fun apply(
+        version: Long,
+        content: ConfigContent,
+        source: String,
+    ) {
+        if (version <= state.version) return
+        state = state.copy(version = version, content = content)
+        onChange(FleetChange.ConfigurationInForce(version, content.routes.size, source))
+    }
+
+    private fun recordRead(record: KeyedRecord) {
+        val value = record.value ?: return
+        MemberCodec.decode(value).fold({ onChange(FleetChange.RecordUnreadable(record.key, it)) }, ::merge)
+    }
+
+    private fun merge(record: MemberRecord) {
+        if (record.nodeId == self.nodeId) {
+            if (members.refute(record)) publishSelf()
+        } else if (members.merge(record)) {
+            onChange(FleetChange.Member(record))
+        }
+    }
+
+    private fun follower(
+        topic: KeyedTopic,
+        onRecord: (KeyedRecord) -> Unit,
+    ) = TopicFollower(store, topic, timers, settings.follower, random, onRecord) { linkChanged(topic, it) }
+
+    private fun linkChanged(
+        topic: KeyedTopic,
+        error: StoreError?,
+    ) = onChange(if (error == null) FleetChange.StoreRegained(topic) else FleetChange.StoreLost(topic, error.reason))
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetSettings.kt
@@ -0,0 +1,21 @@
+package dev.lycheehill.fleet.store
+
+import dev.lycheehill.platformlog.keyed.FollowerSettings
+
+/**
+ * Settings of a [StoreFleet].
+ *
+ * @property beaconMs period of the beacons; a part of the 3 s after which a node counts as out of touch.
+ * @property beaconFanout nodes that get a beacon in one period, by turns; bounds the cost in a large fleet.
+ * @property suspectAfterMs silence after which a node that gets a beacon each period is suspected.
+ * @property syncDelayMs time for which a node that reaches the store waits for it before it asks another node.
+ * @property retryMs longest pause before a record is written again; entries are due 2 s after the store is back.
+ */
+data class StoreFleetSettings(
+    val beaconMs: Long = 1_000,
+    val beaconFanout: Int = 16,
+    val suspectAfterMs: Long = 3_500,
+    val syncDelayMs: Long = 600,
+    val retryMs: Long = 500,
+    val follower: FollowerSettings = FollowerSettings(),
+)
--- a/node/src/main/kotlin/dev/lycheehill/node/DataPathSettings.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/DataPathSettings.kt
@@ -20,6 +20,11 @@
  * @property maxConnectionsPerPeer connections to one peer from one event loop.
  * @property drainTimeoutMs longest wait for calls in flight in a graceful shutdown.
  * @property targetLeaseMs lease of a target that names none in its announcement.
+ * @property deadlineGraceMs time beyond the deadline in which the answer of a backend server that stops at it is awaited.
+ * @property endsSilentCalls whether a call without a byte of its answer is ended before its deadline.
+ * @property retriesServerErrors whether an idempotent call that a backend server failed is sent to another one.
+ * @property callerService service of the instance of this node, told to backend servers; empty when there is none.
+ * @property keepAliveIdleS idle seconds after which a connection to a peer is probed; 0 for no probes.
  * @property seed seed of all random choices on the data path.
  */
 data class DataPathSettings(
@@ -40,6 +45,11 @@
     val maxConnectionsPerPeer: Int = 110,
     val drainTimeoutMs: Long = 30_000,
     val targetLeaseMs: Long = 5_000,
+    val deadlineGraceMs: Long = 0,
+    val endsSilentCalls: Boolean = true,
+    val retriesServerErrors: Boolean = false,
+    val callerService: String = "",
+    val keepAliveIdleS: Int = 0,
     val seed: Long = 1,
 ) {
     /** Conversion from the settings file. */
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -12,12 +12,16 @@
 import dev.lycheehill.node.api.QuarantineEndpoints
 import dev.lycheehill.node.api.ShowEndpoints
 import dev.lycheehill.node.api.TargetEndpoints
+import dev.lycheehill.node.dialect.CallDialect
+import dev.lycheehill.node.dialect.LycheehillDialect
 import dev.lycheehill.node.egress.EgressEnvironment
 import dev.lycheehill.node.egress.EgressHandler
 import dev.lycheehill.node.egress.ServiceTable
+import dev.lycheehill.node.ingress.AdmissionTicks
 import dev.lycheehill.node.ingress.IngressEnvironment
 import dev.lycheehill.node.ingress.IngressHandler
 import dev.lycheehill.node.keys.KeyGate
+import dev.lycheehill.node.logging.DecisionLog
 import dev.lycheehill.node.loop.LoopContexts
 import dev.lycheehill.node.loop.Transport
 import dev.lycheehill.node.metrics.NodeMeter
@@ -39,7 +43,7 @@
 /**
  * The data path of one node: a listener for callers, one for other nodes, and the target beside it.
  *
- * [furtherEndpoints] are added to the local API.
+ * [furtherEndpoints] are added to the local API. [dialect] is how callers and the backend server speak.
  *
  * The order of use is [start], [drain], [stop]; [kill] ends the node at any time as a crash would.
  */
@@ -54,6 +58,8 @@
     private val spans: SpanRecorder = NoSpans,
     evidence: EvidenceChannel = EvidenceChannel.None,
     private val keys: KeyGate? = null,
+    private val dialect: CallDialect = LycheehillDialect,
+    private val edges: NodeEdges = NodeEdges(),
 ) {
     /** Requests that crash backend servers. The fleet adds the evidence of other nodes. */
     val quarantine = CrashQuarantine()
@@ -63,7 +69,9 @@
     /** The backend server beside this node. */
     val target = LocalTarget(fleet, timers) { admission.setSlots(it, System.nanoTime()) }
 
-    private val group: EventLoopGroup = transport.newGroup(settings.eventLoops, "lycheehill-data")
+    private val group: EventLoopGroup = edges.group ?: transport.newGroup(settings.eventLoops, "lycheehill-data")
+    private val decisions = DecisionLog()
+    private val ticks = AdmissionTicks(admission, timers, ADMISSION_TICK_MS)
     private val loops = LoopContexts(group, transport, settings)
     private val crashes = CrashWatch(quarantine, evidence, fleet, timers)
     private val allowances = CallTreeAllowances()
@@ -71,7 +79,8 @@
     private val router = Router()
     private val egress = DataPathServer(settings, transport, group, egressHandler(), metrics)
     private val ingress = DataPathServer(settings, transport, group, ingressHandler(), metrics)
-    private val apiGroup: EventLoopGroup = Transport.NIO.newGroup(1, "lycheehill-api")
+    private val apiGroup: EventLoopGroup = edges.group ?: Transport.NIO.newGroup(1, "lycheehill-api")
+    private val listeners = edges.listeners.map { it.listen to DataPathServer(settings, transport, group, ApiHandler(it.endpoints), metrics) }
     private val api = DataPathServer(settings, Transport.NIO, apiGroup, ApiHandler(apiEndpoints() + furtherEndpoints), metrics)
     private var subscriptions = emptyList<Subscription>()
 
@@ -92,10 +101,10 @@
         ingress.start(settings.ingress)
         egress.start(settings.egress)
         api.start(settings.localApi)
+        listeners.forEach { (listen, server) -> server.start(listen) }
         subscriptions =
             listOf(
                 timers.every(LEASE_CHECK_MS) { target.checkLease() },
-                timers.every(ADMISSION_TICK_MS) { if (admission.queued > 0) admission.onTick(System.nanoTime()) },
                 timers.every(QUARANTINE_CHECK_MS) { quarantine.expire(timers.wallMillis()) },
                 timers.every(SWEEP_MS) { services.dropUnused(System.nanoTime(), UNUSED_NANOS) },
             )
@@ -110,10 +119,15 @@
     /** Drains, waits for the calls in flight and ends the node. */
     fun stop() {
         drain()
+        finish(settings.drainTimeoutMs)
+        kill()
+    }
+
+    /** Takes no further connections and waits up to [timeoutMs] for the calls in flight. */
+    fun finish(timeoutMs: Long) {
         ingress.closeWhenIdle()
         egress.closeWhenIdle()
-        awaitIdle()
-        kill()
+        awaitIdle(timeoutMs)
     }
 
     /** Ends the node at once and closes all connections. */
@@ -122,17 +136,18 @@
         ingress.closeNow()
         egress.closeNow()
         api.closeNow()
+        listeners.forEach { (_, server) -> server.closeNow() }
         apiGroup.shutdownGracefully(0, KILL_WAIT_MS, TimeUnit.MILLISECONDS)
         group.shutdownGracefully(0, KILL_WAIT_MS, TimeUnit.MILLISECONDS).await(KILL_WAIT_MS)
     }
 
-    private fun awaitIdle() {
-        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.drainTimeoutMs)
+    private fun awaitIdle(timeoutMs: Long) {
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
         while (System.nanoTime() < endNanos && !(ingress.isIdle && egress.isIdle)) Thread.sleep(IDLE_POLL_MS)
     }
 
     private fun egressHandler() =
-        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans, keys))
+        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans, keys, dialect, decisions, edges.backendAddress))
 
     private fun apiEndpoints(): List<ApiEndpoint> =
         TargetEndpoints(target, settings.targetLeaseMs).all() + OperatorEndpoints(fleet, target, ::drain).all() +
@@ -140,7 +155,7 @@
             ObservationEndpoints(metrics, spans).all() + QuarantineEndpoints(quarantine, timers).all()
 
     private fun ingressHandler() =
-        IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops, crashes, metrics, spans, keys))
+        IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops, crashes, metrics, spans, keys, dialect, ticks, fleet.self.nodeId, decisions))
 
     private companion object {
         val log = KotlinLogging.logger {}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/NodeListener.kt
@@ -0,0 +1,10 @@
+package dev.lycheehill.node
+
+import dev.lycheehill.node.api.ApiEndpoint
+import dev.lycheehill.node.settings.HostPort
+
+/** A further listener of a node with its endpoints. */
+class NodeListener(
+    val listen: HostPort,
+    val endpoints: List<ApiEndpoint>,
+)
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/client/HttpCaller.kt
@@ -0,0 +1,81 @@
+package dev.lycheehill.node.client
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.dialect.BackendAnswer
+import dev.lycheehill.node.http.HeaderRules
+import dev.lycheehill.node.loop.Transport
+import dev.lycheehill.node.relay.CollectedResponse
+import dev.lycheehill.node.relay.CollectorListener
+import dev.lycheehill.node.relay.ResponseCollector
+import dev.lycheehill.node.upstream.ExchangeFailure
+import dev.lycheehill.node.upstream.Upstreams
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+
+/** HTTP/1.1 client for calls of the node's own. Used on [eventLoop] only; listeners are called there. */
+class HttpCaller(
+    private val eventLoop: EventLoop,
+    connectTimeoutMs: Int,
+    keepAliveIdleS: Int,
+) {
+    private val upstreams =
+        Upstreams(eventLoop, Transport.NIO.channelType, DataPathSettings(connectTimeoutMs = connectTimeoutMs, keepAliveIdleS = keepAliveIdleS))
+
+    /**
+     * Sends a request to [address], written as `ip:port`.
+     *
+     * @param timeoutMs longest time without a byte of the response.
+     * @param listener gets the response, or why there is none.
+     */
+    fun call(
+        address: String,
+        method: HttpMethod,
+        uri: String,
+        body: ByteArray = ByteArray(0),
+        contentType: String = "application/octet-stream",
+        timeoutMs: Long,
+        listener: (Either<HttpCallFailure, HttpAnswer>) -> Unit,
+    ) {
+        val headers = HeaderRules.newHeaders()
+        headers.set(HttpHeaderNames.HOST, address)
+        if (method != HttpMethod.GET) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size.toString())
+            headers.set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        }
+        val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, method, uri, headers)
+        val collector = ResponseCollector(MAX_RESPONSE_BYTES, { BackendAnswer.RAN }, AnswerListener(listener))
+        collector.exchange = upstreams.pool(address).send(head, Unpooled.wrappedBuffer(body), timeoutMs, collector)
+    }
+
+    private class AnswerListener(
+        private val listener: (Either<HttpCallFailure, HttpAnswer>) -> Unit,
+    ) : CollectorListener {
+        override fun onWhole(response: CollectedResponse) {
+            val bytes = ByteBufUtil.getBytes(response.body)
+            response.body.release()
+            listener(HttpAnswer(response.status.code(), bytes).right())
+        }
+
+        override fun onTooLong(collector: ResponseCollector) {
+            collector.cancel()
+            listener(HttpCallFailure("response above $MAX_RESPONSE_BYTES bytes", mayHaveRun = true).left())
+        }
+
+        override fun onFailure(failure: ExchangeFailure) = listener(HttpCallFailure.of(failure).left())
+
+        override fun onStreamed() = Unit
+    }
+
+    private companion object {
+        // A page of the store is at most 1 MB, in base64.
+        const val MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/dialect/LycheehillDialect.kt
@@ -0,0 +1,45 @@
+package dev.lycheehill.node.dialect
+
+import dev.lycheehill.core.Verdict
+import dev.lycheehill.node.http.CallHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+
+/** The headers of lycheehill's own interface. */
+object LycheehillDialect : CallDialect {
+    override fun deadlineMs(request: HttpHeaders): String? = request.get(CallHeaders.DEADLINE_MS)
+
+    override fun requestId(request: HttpHeaders): String? = request.get(CallHeaders.CALL_ID)
+
+    override fun toBackend(
+        headers: HttpHeaders,
+        facts: BackendFacts,
+    ) {
+        headers.set(CallHeaders.DEADLINE_MS, facts.remainingMs.toString())
+    }
+
+    override fun answerOf(
+        response: HttpResponse,
+        requestId: String?,
+    ): BackendAnswer = BackendAnswer.RAN
+
+    override fun statusOf(
+        status: HttpResponseStatus,
+        verdict: Verdict,
+    ): HttpResponseStatus = status
+
+    override fun toCaller(
+        headers: HttpHeaders,
+        request: HttpHeaders,
+        retryAfterMs: Long?,
+    ) {
+        retryAfterMs ?: return
+        headers.set(CallHeaders.RETRY_AFTER_MS, retryAfterMs.toString())
+        headers.set(HttpHeaderNames.RETRY_AFTER, ((retryAfterMs + MILLIS_ROUNDING_UP) / MILLIS_PER_SECOND).toString())
+    }
+
+    private const val MILLIS_PER_SECOND = 1_000
+    private const val MILLIS_ROUNDING_UP = 999
+}
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -7,6 +7,8 @@
 import dev.lycheehill.calls.verdict.RetryAllowance
 import dev.lycheehill.calls.verdict.RetryDecision
 import dev.lycheehill.core.Verdict
+import dev.lycheehill.core.time.NANOS_PER_MILLI
+import dev.lycheehill.node.dialect.BackendAnswer
 import dev.lycheehill.node.http.CallHeaders
 import dev.lycheehill.node.http.HeaderRules
 import dev.lycheehill.node.http.InboundCall
@@ -48,13 +50,19 @@
 
     private val idempotent = decision.isIdempotent(call.method.name())
     private val deadline =
-        Deadline.received(call.headers.get(CallHeaders.DEADLINE_MS), decision.timeoutMs.toLong(), startNanos)
-    private val template = RequestTemplate(call, decision, home?.domain)
+        Deadline.received(environment.dialect.deadlineMs(call.headers), decision.timeoutMs.toLong(), startNanos)
+    private val isChild = environment.isChild(call)
+    private val template = RequestTemplate(call, decision, home?.domain, environment.settings.callerService, isChild)
     private val tried = ArrayList<String>(2)
     private val running = ArrayList<EgressAttempt>(2)
     private var attempts = 0
+    private var arrivals = 0
+    private var moves = 0
+    private var isLastResort = false
     private var homeRetries = 0
     private var mayHaveRun = false
+    private var leastRetryAfterMs: Long? = null
+    private var kept: CollectedResponse? = null
     private var streaming: EgressAttempt? = null
     private var timer: ScheduledFuture<*>? = null
     private var hedgeTimer: ScheduledFuture<*>? = null
@@ -64,7 +72,8 @@
         call.listener = this
         service.retries.onCall(now)
         service.hedges.onCall(now)
-        timer = loop.eventLoop.schedule(::onDeadline, deadline.remainingNanos(now), TimeUnit.NANOSECONDS)
+        val graceNanos = 2 * environment.settings.deadlineGraceMs * NANOS_PER_MILLI
+        timer = loop.eventLoop.schedule(::onDeadline, deadline.remainingNanos(now) + graceNanos, TimeUnit.NANOSECONDS)
         attempt()
         scheduleHedge()
     }
@@ -85,7 +94,7 @@
     ) {
         running.remove(attempt)
         when (Verdict.fromHeader(response.headers.get(CallHeaders.VERDICT))) {
-            Verdict.RAN -> answer(attempt, response)
+            Verdict.RAN -> if (isRepeatable(response)) failedByBackend(attempt, response) else answer(attempt, response)
             Verdict.NOT_RUN -> refused(attempt, response)
             Verdict.MAY_HAVE_RUN -> uncertain(attempt, response)
         }
@@ -109,7 +118,8 @@
         failure: ExchangeFailure,
     ) {
         running.remove(attempt)
-        attempt.end(AttemptOutcome.FAILURE, null)
+        val unreachable = failure.kind == ExchangeFailure.Kind.CONNECT
+        attempt.end(if (unreachable) AttemptOutcome.UNREACHABLE else AttemptOutcome.FAILURE, null)
         if (attempt === streaming) {
             call.abort()
             ended(Verdict.MAY_HAVE_RUN, null, failure.kind.reason)
@@ -118,7 +128,7 @@
         if (failure.kind == ExchangeFailure.Kind.SILENT) environment.metrics.silentConnection()
         if (failure.verdict == Verdict.NOT_RUN) attempt.giveBackRetries() else mayHaveRun = true
         val status = if (failure.kind == ExchangeFailure.Kind.SILENT) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.BAD_GATEWAY
-        next(GivenUp(failure.verdict, status, failure.kind.reason))
+        next(GivenUp(failure.verdict, status, failure.kind.reason, arrived = failure.verdict != Verdict.NOT_RUN))
     }
 
     private fun answer(
@@ -131,16 +141,39 @@
         call.respond(response.status, callerHeaders(response.headers, Verdict.RAN), response.body)
     }
 
+    // The answer of the last backend server is the caller's, unless a later one succeeds.
+    private fun failedByBackend(
+        attempt: EgressAttempt,
+        response: CollectedResponse,
+    ) {
+        attempt.end(AttemptOutcome.FAILURE, response.headers)
+        kept?.body?.release()
+        kept = response
+        mayHaveRun = true
+        next(GivenUp(Verdict.RAN, response.status, "backend-failed", serverError = true))
+    }
+
     private fun refused(
         attempt: EgressAttempt,
         response: CollectedResponse,
     ) {
         response.body.release()
-        attempt.end(AttemptOutcome.SHED, response.headers)
+        val unavailable = response.headers.contains(CallHeaders.UNAVAILABLE)
+        attempt.end(if (unavailable) AttemptOutcome.UNREACHABLE else AttemptOutcome.SHED, response.headers)
         attempt.giveBackRetries()
         val retryAfterMs = response.headers.get(CallHeaders.RETRY_AFTER_MS)?.toLongOrNull()
         if (isRepeatedAtHome(retryAfterMs)) return
-        next(GivenUp(Verdict.NOT_RUN, response.status, reasonOf(response.headers), response.status.code() != UNPROCESSABLE, retryAfterMs))
+        leastRetryAfterMs = listOfNotNull(leastRetryAfterMs, retryAfterMs).minOrNull()
+        next(
+            GivenUp(
+                verdict = Verdict.NOT_RUN,
+                status = response.status,
+                reason = reasonOf(response.headers),
+                repeatable = response.status.code() != UNPROCESSABLE,
+                retryAfterMs = leastRetryAfterMs,
+                arrived = response.headers.contains(CallHeaders.ARRIVED),
+            ),
+        )
     }
 
     // The home of an idle key domain needs one round of vouchers, which is shorter than a round trip to the caller and back.
@@ -171,8 +204,7 @@
         service.refresh(environment.endpoints.targets(decision.service.name), now)
         val target = if (home == null) service.picker.pick(now, tried) else service.picker.find(home.nodeId)
         if (target == null) {
-            val reason = if (home == null) "no-target" else "key-home-gone"
-            giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.SERVICE_UNAVAILABLE, reason), NO_TARGET_RETRY_MS)
+            noTarget()
             return
         }
         attempts++
@@ -182,33 +214,72 @@
         send(EgressAttempt(this, target, allowance.lend(), attempts, attemptSpan), now)
     }
 
+    // When every target has refused to answer within the aim, one is asked for a later answer.
+    private fun noTarget() {
+        if (moves > 0 && !isLastResort && decision.route.aimMs != null) {
+            isLastResort = true
+            tried.clear()
+            attempt()
+            return
+        }
+        val reason = if (home == null) "no-target" else "key-home-gone"
+        giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.SERVICE_UNAVAILABLE, reason), leastRetryAfterMs ?: NO_TARGET_RETRY_MS)
+    }
+
     private fun send(
         attempt: EgressAttempt,
         nowNanos: Long,
     ) {
         val remainingMs = deadline.remainingMs(nowNanos)
         val callId = loop.nextCallId()
-        val collector = ResponseCollector(environment.settings.maxBufferedResponseBytes, callId, attempt)
+        val collector =
+            ResponseCollector(
+                maxBytes = environment.settings.maxBufferedResponseBytes,
+                judge = { if (it.headers().get(CallHeaders.CALL_ID) == callId) BackendAnswer.RAN else BackendAnswer.INVALID },
+                listener = attempt,
+            )
         attempt.collector = collector
         running.add(attempt)
-        val progressMs = service.progressLimitMs(remainingMs, idempotent)
-        val head = template.head(callId, remainingMs, attempt.lentRetries, progressMs, attempt.span.traceparent)
+        val progressMs =
+            if (environment.settings.endsSilentCalls) {
+                service.progressLimitMs(remainingMs, idempotent)
+            } else {
+                remainingMs + 2 * environment.settings.deadlineGraceMs
+            }
+        val head =
+            template.head(
+                callId = callId,
+                targetId = attempt.target.info.id,
+                aimMs = aimMs(nowNanos),
+                acceptsLate = isLastResort,
+                deadlineMs = remainingMs,
+                retriesLeft = attempt.lentRetries,
+                progressMs = progressMs,
+                traceparent = attempt.span.traceparent,
+            )
         val pool = loop.upstreams.pool(attempt.target.info.address)
         collector.exchange = pool.send(head, call.body.retainedDuplicate(), progressMs + PROGRESS_GRACE_MS, collector)
     }
 
+    private fun aimMs(nowNanos: Long): Long? =
+        decision.route.aimMs?.let { (it - (nowNanos - startNanos) / NANOS_PER_MILLI).coerceAtLeast(0) }
+
     private fun next(outcome: GivenUp) {
+        if (outcome.arrived) arrivals++
         if (running.isNotEmpty()) return
         val failed =
             FailedAttempt(
                 verdict = outcome.verdict,
                 idempotent = idempotent,
-                number = attempts,
+                number = attempts - moves,
                 maxAttempts = decision.route.maxAttempts,
                 deadline = deadline,
                 allowance = allowance,
                 repeatable = outcome.repeatable && home == null,
                 retryAfterMs = outcome.retryAfterMs,
+                serverError = outcome.serverError,
+                arrived = outcome.arrived,
+                moves = moves,
             )
         when (val choice = service.retries.decide(failed, System.nanoTime())) {
             is RetryDecision.Final -> {
@@ -216,12 +287,15 @@
                 giveUp(outcome, choice.retryAfterMs)
             }
             is RetryDecision.Elsewhere -> {
-                meters.retried()
+                if (choice.isMove) moves++ else meters.retried()
                 retryAfter(choice.delayMs)
             }
         }
     }
 
+    private fun isRepeatable(response: CollectedResponse): Boolean =
+        environment.settings.retriesServerErrors && idempotent && response.status.code() in REPEATABLE_ERRORS
+
     private fun retryAfter(delayMs: Long) {
         if (delayMs == 0L) attempt() else loop.eventLoop.schedule({ if (!call.isAnswered) attempt() }, delayMs, TimeUnit.MILLISECONDS)
     }
@@ -259,11 +333,29 @@
         outcome: GivenUp,
         retryAfterMs: Long?,
     ) {
+        val answer = kept
+        if (answer != null) {
+            kept = null
+            ended(Verdict.RAN, answer.status, outcome.reason)
+            call.respond(answer.status, callerHeaders(answer.headers, Verdict.RAN), answer.body)
+            return
+        }
         val verdict = if (mayHaveRun) Verdict.MAY_HAVE_RUN else outcome.verdict
         ended(verdict, outcome.status, outcome.reason)
-        NodeResponses.giveUp(call, outcome.status, verdict, outcome.reason, decision.version, retryAfterMs)
+        NodeResponses.giveUp(call, statusFor(outcome, verdict), verdict, outcome.reason, decision.version, retryAfterMs, environment.dialect)
     }
 
+    // "Unavailable" would state that the call did not run.
+    private fun statusFor(
+        outcome: GivenUp,
+        verdict: Verdict,
+    ): HttpResponseStatus =
+        if (verdict == Verdict.MAY_HAVE_RUN && outcome.status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
+            HttpResponseStatus.BAD_GATEWAY
+        } else {
+            outcome.status
+        }
+
     private fun ended(
         verdict: Verdict,
         status: HttpResponseStatus?,
@@ -271,8 +363,10 @@
     ) {
         timer?.cancel(false)
         hedgeTimer?.cancel(false)
+        kept?.body?.release()
+        kept = null
         meters.callFinished(verdict, System.nanoTime() - startNanos)
-        span.end(
+        val result =
             HopResult(
                 route = routeName,
                 version = version,
@@ -281,10 +375,29 @@
                 verdict = verdict,
                 status = status?.code(),
                 reason = reason,
-            ),
-        )
+            )
+        span.end(result)
+        if (result.failed || attempts > 1) logEnd(result)
     }
 
+    private fun logEnd(result: HopResult) =
+        environment.decisions.write(
+            "call-ended",
+            "request" to environment.dialect.requestId(call.headers),
+            "route" to result.route,
+            "service" to decision.service.name,
+            "version" to result.version,
+            "verdict" to result.verdict.headerValue,
+            "status" to result.status,
+            "reason" to result.reason,
+            "targets" to tried.joinToString(" "),
+            "arrivals" to arrivals,
+            "moves" to moves,
+            "child" to isChild,
+            "elapsed_ms" to (System.nanoTime() - startNanos) / NANOS_PER_MILLI,
+            "deadline_ms" to (deadline.atNanos - startNanos) / NANOS_PER_MILLI,
+        )
+
     private fun cancelAllBut(kept: EgressAttempt?) {
         running.filter { it !== kept }.forEach { it.cancel() }
         running.removeAll { it !== kept }
@@ -311,5 +424,8 @@
 
         // The target's node finds a silent backend server first and can then say so.
         const val PROGRESS_GRACE_MS = 50L
+
+        // Server errors but "not implemented" and "gateway timeout", after which no time is left.
+        val REPEATABLE_ERRORS = setOf(500, 502, 503)
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
@@ -3,12 +3,16 @@
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.fleet.FleetView
 import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.dialect.CallDialect
+import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.keys.KeyGate
+import dev.lycheehill.node.logging.DecisionLog
 import dev.lycheehill.node.loop.LoopContexts
 import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.routing.EndpointIndex
 import dev.lycheehill.node.routing.Router
 import dev.lycheehill.node.tracing.SpanRecorder
+import java.net.InetAddress
 
 /** What all egress calls of a node share. */
 internal class EgressEnvironment(
@@ -22,4 +26,10 @@
     val metrics: NodeMetrics,
     val spans: SpanRecorder,
     val keys: KeyGate?,
-)
+    val dialect: CallDialect,
+    val decisions: DecisionLog,
+    private val ownAddress: InetAddress?,
+) {
+    /** Whether [call] was made by the backend server beside this node, so that a running call waits for it. */
+    fun isChild(call: InboundCall): Boolean = ownAddress != null && call.callerAddress?.address == ownAddress
+}
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressHandler.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressHandler.kt
@@ -18,7 +18,7 @@
         val snapshot = environment.fleet.foldState()
         val decision = environment.router.decide(snapshot, call, loop.random)
         if (decision == null) {
-            NodeResponses.giveUp(call, HttpResponseStatus.NOT_FOUND, Verdict.NOT_RUN, "no-route", snapshot.version)
+            noRoute(call, snapshot.version)
             return
         }
         val key = call.headers.get(CallHeaders.IDEMPOTENCY_KEY)
@@ -31,7 +31,7 @@
         val service = environment.fleet.members()[home]?.let { snapshot.content.services[it.service] }
         if (home == null || service == null) {
             val reason = if (home == null) KeyRefusal.NO_EPOCH.headerValue else "key-home-gone"
-            NodeResponses.giveUp(call, HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.NOT_RUN, reason, snapshot.version, HOME_RETRY_MS)
+            NodeResponses.giveUp(call, HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.NOT_RUN, reason, snapshot.version, HOME_RETRY_MS, environment.dialect)
             return
         }
         // The home decides the service too, so that a change of weights does not move a key to another service.
@@ -39,7 +39,26 @@
         EgressCall(environment, loop, call, atHome, KeyHome(decision.keyDomain, home)).start()
     }
 
+    override fun mayOverlap(call: InboundCall): Boolean = environment.router.isIdempotent(environment.fleet.foldState(), call)
+
+    // A node that has no configuration yet cannot know that there is no route.
+    private fun noRoute(
+        call: InboundCall,
+        version: Long,
+    ) {
+        if (version == 0L) {
+            val status = HttpResponseStatus.SERVICE_UNAVAILABLE
+            NodeResponses.giveUp(call, status, Verdict.NOT_RUN, "no-configuration", version, NO_CONFIGURATION_RETRY_MS, environment.dialect)
+            return
+        }
+        NodeResponses.giveUp(call, HttpResponseStatus.NOT_FOUND, Verdict.NOT_RUN, "no-route", version, dialect = environment.dialect)
+    }
+
     private companion object {
+        // About the time in which a node that starts reads the configuration.
+        const val NO_CONFIGURATION_RETRY_MS = 500L
+
+
         // About the time in which a new epoch is proposed and distributed.
         const val HOME_RETRY_MS = 500L
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/GivenUp.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/GivenUp.kt
@@ -3,11 +3,18 @@
 import dev.lycheehill.core.Verdict
 import io.netty.handler.codec.http.HttpResponseStatus
 
-/** Response of a call whose latest attempt brought no usable answer, if it is not tried again. */
+/**
+ * Response of a call whose latest attempt brought no usable answer, if it is not tried again.
+ *
+ * @property arrived whether the request reached the backend server.
+ * @property serverError whether the backend server ran the request and answered with a server error.
+ */
 internal class GivenUp(
     val verdict: Verdict,
     val status: HttpResponseStatus,
     val reason: String,
     val repeatable: Boolean = true,
     val retryAfterMs: Long? = null,
+    val arrived: Boolean = true,
+    val serverError: Boolean = false,
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/LoadHeader.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/LoadHeader.kt
@@ -2,21 +2,17 @@
 
 import dev.lycheehill.calls.balancing.LoadReport
 
-/** Form of the `lycheehill-load` header: calls in flight and mean latency in microseconds, as in `7,1200`. */
+/** Form of the `lycheehill-load` header: calls in flight, mean latency in microseconds, calls queued and slots, as in `7,1200,0,10`. */
 internal object LoadHeader {
     private const val NANOS_PER_MICRO = 1_000
+    private const val FIELDS = 4
 
-    fun format(
-        inFlight: Int,
-        latencyNanos: Long,
-    ): String = "$inFlight,${latencyNanos / NANOS_PER_MICRO}"
+    fun format(load: LoadReport): String = "${load.inFlight},${load.latencyNanos / NANOS_PER_MICRO},${load.queued},${load.slots}"
 
     /** Returns null for a value of another form. */
     fun parse(value: String): LoadReport? {
-        val comma = value.indexOf(',')
-        if (comma < 0) return null
-        val inFlight = value.substring(0, comma).toIntOrNull() ?: return null
-        val micros = value.substring(comma + 1).toLongOrNull() ?: return null
-        return LoadReport(inFlight, micros * NANOS_PER_MICRO)
+        val fields = value.split(',').map { it.toLongOrNull() ?: return null }
+        if (fields.size != FIELDS) return null
+        return LoadReport(fields[0].toInt(), fields[1] * NANOS_PER_MICRO, fields[2].toInt(), fields[3].toInt())
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/RequestTemplate.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/RequestTemplate.kt
@@ -15,12 +15,17 @@
     private val call: InboundCall,
     private val decision: RouteDecision,
     private val keyDomain: String?,
+    private val callerService: String,
+    private val isChild: Boolean,
 ) {
     private val common: HttpHeaders = commonHeaders()
 
     /** Returns the head for one attempt. */
     fun head(
         callId: String,
+        targetId: String,
+        aimMs: Long?,
+        acceptsLate: Boolean,
         deadlineMs: Long,
         retriesLeft: Int,
         progressMs: Long,
@@ -28,6 +33,9 @@
     ): HttpRequest {
         val headers = HeaderRules.newHeaders().set(common)
         headers.set(CallHeaders.CALL_ID, callId)
+        headers.set(CallHeaders.TARGET, targetId)
+        aimMs?.let { headers.set(CallHeaders.AIM_MS, it.toString()) }
+        if (acceptsLate) headers.set(CallHeaders.ACCEPTS_LATE, "1")
         headers.set(CallHeaders.DEADLINE_MS, deadlineMs.toString())
         headers.set(CallHeaders.RETRIES_LEFT, retriesLeft.toString())
         headers.set(CallHeaders.PROGRESS_MS, progressMs.toString())
@@ -44,6 +52,8 @@
         headers.set(CallHeaders.SERVICE, decision.service.name)
         headers.set(CallHeaders.PRIORITY, route.priority.name)
         headers.set(CallHeaders.COST, route.cost.name)
+        if (callerService.isNotEmpty()) headers.set(CallHeaders.CALLER_SERVICE, callerService)
+        if (isChild) headers.set(CallHeaders.CHILD, "1")
         keyDomain?.let { headers.set(CallHeaders.KEY_DOMAIN, it) }
         if (!headers.contains(HttpHeaderNames.HOST)) headers.set(HttpHeaderNames.HOST, "")
         return headers
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallHandler.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallHandler.kt
@@ -4,4 +4,7 @@
 internal fun interface CallHandler {
     /** Starts to serve [call]. The handler answers it exactly once, now or later, on the same event loop. */
     fun handle(call: InboundCall)
+
+    /** Whether [call] may be served while earlier requests of its connection are still being served. */
+    fun mayOverlap(call: InboundCall): Boolean = false
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallHeaders.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallHeaders.kt
@@ -43,6 +43,27 @@
     /** Cost class of the call, from the caller's node to the target's node. */
     val COST: AsciiString = AsciiString.cached("lycheehill-cost")
 
+    /** Service of the instance where the call began, from the caller's node to the target's node. */
+    val CALLER_SERVICE: AsciiString = AsciiString.cached("lycheehill-caller-service")
+
+    /** Node id of the target for which the call is meant. */
+    val TARGET: AsciiString = AsciiString.cached("lycheehill-target")
+
+    /** Time until which an answer has its full value, from the caller's node to the target's node, in milliseconds. */
+    val AIM_MS: AsciiString = AsciiString.cached("lycheehill-aim-ms")
+
+    /** Present when the caller's node prefers an answer after the aim to a refusal. */
+    val ACCEPTS_LATE: AsciiString = AsciiString.cached("lycheehill-accepts-late")
+
+    /** Present when a running call waits for this one. */
+    val CHILD: AsciiString = AsciiString.cached("lycheehill-child")
+
+    /** Present on a refusal when the target takes no calls at all for now. */
+    val UNAVAILABLE: AsciiString = AsciiString.cached("lycheehill-unavailable")
+
+    /** Present on a refusal when the request reached the backend server, which refused it. */
+    val ARRIVED: AsciiString = AsciiString.cached("lycheehill-arrived")
+
     /** Name space of the idempotency key, from the caller's node to the target's node. */
     val KEY_DOMAIN: AsciiString = AsciiString.cached("lycheehill-key-domain")
 
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -24,13 +24,15 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
+import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
 /**
- * Receives requests whole and serves them one at a time, so that pipelined requests are answered in order.
+ * Receives requests whole, serves them and answers them in order.
  *
- * While a call is served, further messages wait here. The connection stays readable until [MAX_WAITING] of them are
- * waiting, so that a caller that closes its connection is noticed.
+ * A pipelined request is served beside earlier ones if the handler lets both overlap; otherwise it waits for them. While
+ * a call waits, further messages wait here. The connection stays readable until [MAX_WAITING] of them are waiting, so
+ * that a caller that closes its connection is noticed.
  */
 internal class CallerConnection(
     private val settings: DataPathSettings,
@@ -41,14 +43,20 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var ctx: ChannelHandlerContext
     private val waiting = ArrayDeque<HttpObject>()
-    private var current: InboundCall? = null
+    private val calls = ArrayDeque<InboundCall>()
+    private var undispatched: InboundCall? = null
+    private var rejection: HttpResponseStatus? = null
     private var head: HttpRequest? = null
     private lateinit var body: BodyBuffer
     private var closing = false
+    private var draining = false
     private var consuming = false
 
     val isWritable: Boolean get() = ctx.channel().isWritable
-    val isIdle: Boolean get() = current == null && head == null && waiting.isEmpty()
+    val isIdle: Boolean get() = calls.isEmpty() && head == null && waiting.isEmpty()
+
+    /** Whether no earlier call of this connection is unanswered. */
+    fun isFirst(call: InboundCall): Boolean = calls.firstOrNull() === call
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
@@ -72,13 +80,12 @@
     override fun channelInactive(ctx: ChannelHandlerContext) {
         connections.remove(this)
         closing = true
-        current?.callerGone()
-        current = null
+        dropCalls()
         releaseAll()
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
-        if (isWritable) current?.listener?.onWritable()
+        if (isWritable) calls.firstOrNull()?.listener?.onWritable()
     }
 
     override fun userEventTriggered(
@@ -86,7 +93,7 @@
         evt: Any,
     ) {
         when (evt) {
-            RequestTimeouts.Expired.REQUEST -> if (current == null) reject(HttpResponseStatus.REQUEST_TIMEOUT)
+            RequestTimeouts.Expired.REQUEST -> if (calls.isEmpty()) reject(HttpResponseStatus.REQUEST_TIMEOUT)
             RequestTimeouts.Expired.IDLE -> if (isIdle) ctx.close()
             else -> ctx.fireUserEventTriggered(evt)
         }
@@ -100,29 +107,31 @@
         ctx.close()
     }
 
-    fun write(message: HttpObject) {
-        ctx.write(message, ctx.voidPromise())
-    }
-
     fun writeAndFlush(message: HttpObject) {
         ctx.writeAndFlush(message, ctx.voidPromise())
     }
 
-    /** Ends the current call. The next waiting request is served unless the connection is to be closed. */
-    fun callDone(close: Boolean) {
-        current = null
-        if (close || closing) {
-            closeAfterFlush()
-            return
+    /** Ends [call]. If it is the first one, the calls behind it go on unless the connection is to be closed. */
+    fun callDone(call: InboundCall) {
+        if (!isFirst(call)) return
+        while (calls.firstOrNull()?.isDone == true) {
+            val closes = calls.removeFirst().closesConnection
+            if (closes || closing) {
+                closeAfterFlush()
+                return
+            }
+            calls.firstOrNull()?.becameFirst()
         }
-        timeouts.requestDone()
+        if (calls.isEmpty()) requestsDone()
+        dispatchWaiting()
         consumeWaiting()
     }
 
-    /** Closes the connection now if it carries no call, otherwise after the current call. */
+    /** Closes the connection now if it carries no call, otherwise after the call that was received last. */
     fun closeWhenIdle() {
         ctx.executor().execute {
-            current?.closeAfterResponse()
+            draining = true
+            calls.lastOrNull()?.closeAfterResponse()
             if (isIdle) ctx.close()
         }
     }
@@ -140,11 +149,22 @@
     private fun consumeWaiting() {
         if (consuming) return
         consuming = true
-        while (current == null && !closing) consume(waiting.removeFirstOrNull() ?: break)
+        while (mayReceive()) consume(waiting.removeFirstOrNull() ?: break)
         consuming = false
         if (waiting.isEmpty() && !closing) ctx.channel().config().isAutoRead = true
     }
 
+    private fun mayReceive() = !closing && undispatched == null && rejection == null && calls.size < MAX_PIPELINED
+
+    private fun requestsDone() {
+        val status = rejection
+        when {
+            status != null -> reject(status)
+            head == null -> timeouts.requestDone()
+            else -> timeouts.headersDone()
+        }
+    }
+
     private fun consume(message: HttpObject) {
         if (message.decoderResult().isFailure) {
             ReferenceCountUtil.release(message)
@@ -193,11 +213,25 @@
         val request = head ?: return
         head = null
         timeouts.bodyDone()
-        val call = InboundCall(this, request, body.take(), ctx.channel().eventLoop())
-        current = call
+        val call = InboundCall(this, request, body.take(), ctx.channel().eventLoop(), ctx.channel().remoteAddress() as? InetSocketAddress)
+        if (draining) call.closeAfterResponse()
+        calls.addLast(call)
+        if (calls.size == 1 || calls.all(handler::mayOverlap)) serve(call) else undispatched = call
+    }
+
+    private fun dispatchWaiting() {
+        val call = undispatched ?: return
+        if (!isFirst(call)) return
+        undispatched = null
         serve(call)
     }
 
+    // The caller learns that requests behind a closing response were not read. Those that are served already are ended.
+    private fun dropCalls() {
+        while (true) (calls.removeLastOrNull() ?: break).apply { if (isDone) dropHeld() else callerGone() }
+        undispatched = null
+    }
+
     // A fault in the handler must not leave the caller without an answer. What ran by then is not known.
     @Suppress("TooGenericExceptionCaught")
     private fun serve(call: InboundCall) {
@@ -211,6 +245,10 @@
 
     private fun reject(status: HttpResponseStatus) {
         if (closing) return
+        if (calls.isNotEmpty()) {
+            rejection = status
+            return
+        }
         metrics.invalidRequest(status.code())
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
         response
@@ -234,6 +272,7 @@
 
     private fun closeAfterFlush() {
         closing = true
+        dropCalls()
         releaseAll()
         ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
     }
@@ -260,6 +299,9 @@
 
         const val DISCARD_MS = 1_000L
 
+        // Calls of one connection that are served at a time.
+        const val MAX_PIPELINED = 32
+
         val CONTINUE =
             DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/http/InboundCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/InboundCall.kt
@@ -11,11 +11,14 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import java.net.InetSocketAddress
 
 /**
  * One request of a caller, received whole, with the means to answer it. Used on the event loop of its connection only.
@@ -27,6 +30,7 @@
     head: HttpRequest,
     val body: ByteBuf,
     val eventLoop: EventLoop,
+    val callerAddress: InetSocketAddress?,
 ) {
     val method: HttpMethod = head.method()
     val uri: String = head.uri()
@@ -38,8 +42,17 @@
     private var state = State.OPEN
     private var closeAfter = !keepAlive
 
+    // What was written before the responses to earlier requests of the connection were complete.
+    private var held: ArrayList<HttpObject>? = null
+
     val isAnswered: Boolean get() = state != State.OPEN
-    val isWritable: Boolean get() = connection.isWritable
+    val isWritable: Boolean get() = connection.isFirst(this) && connection.isWritable
+
+    /** Whether the whole response has been written or held, or the call was aborted. */
+    val isDone: Boolean get() = state == State.DONE
+
+    /** Whether the connection is closed after this call. */
+    val closesConnection: Boolean get() = closeAfter
 
     /** Path of [uri] without the query. */
     val path: String get() = uri.substringBefore('?')
@@ -65,9 +78,7 @@
         }
         setConnectionHeader(responseHeaders)
         val sent = if (bodyAllowed) content else content.also { it.release() }.let { Unpooled.EMPTY_BUFFER }
-        connection.writeAndFlush(
-            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, sent, responseHeaders, EmptyHttpHeaders.INSTANCE),
-        )
+        send(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, sent, responseHeaders, EmptyHttpHeaders.INSTANCE))
         finish()
     }
 
@@ -80,12 +91,12 @@
         state = State.STREAMING
         if (!responseHeaders.contains(HttpHeaderNames.CONTENT_LENGTH)) delimitWithoutLength(responseHeaders)
         setConnectionHeader(responseHeaders)
-        connection.write(DefaultHttpResponse(HttpVersion.HTTP_1_1, status, responseHeaders))
+        send(DefaultHttpResponse(HttpVersion.HTTP_1_1, status, responseHeaders))
     }
 
     /** Sends a part of a streamed response and takes over [content]. */
     fun write(content: HttpContent) {
-        if (state == State.STREAMING) connection.writeAndFlush(content) else content.release()
+        if (state == State.STREAMING) send(content) else content.release()
     }
 
     /** Ends a streamed response. */
@@ -94,10 +105,17 @@
             last.release()
             return
         }
-        connection.writeAndFlush(last)
+        send(last)
         finish()
     }
 
+    /** Writes what was held, because the responses to all earlier requests are complete. */
+    fun becameFirst() {
+        held?.forEach(connection::writeAndFlush)
+        held = null
+        if (state != State.DONE) listener?.onWritable()
+    }
+
     /** Closes the caller's connection, so that a partial response cannot look whole. */
     fun abort() {
         closeAfter = true
@@ -110,10 +128,25 @@
     fun callerGone() {
         if (state == State.DONE) return
         state = State.DONE
+        dropHeld()
         listener?.onCallerGone()
         body.release()
     }
 
+    /** Releases a response that was held and cannot be sent any more. */
+    fun dropHeld() {
+        held?.forEach(ReferenceCountUtil::release)
+        held = null
+    }
+
+    private fun send(message: HttpObject) {
+        if (connection.isFirst(this)) {
+            connection.writeAndFlush(message)
+        } else {
+            held = (held ?: ArrayList()).apply { add(message) }
+        }
+    }
+
     private fun delimitWithoutLength(responseHeaders: HttpHeaders) {
         if (method == HttpMethod.HEAD) return
         if (isHttp10) closeAfter = true else responseHeaders.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
@@ -131,7 +164,7 @@
         if (state == State.DONE) return
         state = State.DONE
         body.release()
-        connection.callDone(closeAfter)
+        connection.callDone(this)
     }
 
     private enum class State { OPEN, STREAMING, DONE }
--- a/node/src/main/kotlin/dev/lycheehill/node/http/NodeResponses.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/NodeResponses.kt
@@ -1,6 +1,8 @@
 package dev.lycheehill.node.http
 
 import dev.lycheehill.core.Verdict
+import dev.lycheehill.node.dialect.CallDialect
+import dev.lycheehill.node.dialect.LycheehillDialect
 import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.ByteBufUtil
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -13,6 +15,7 @@
      * Answers that the call is given up.
      *
      * @param retryAfterMs time after which the caller may try again; null when a repetition is pointless.
+     * @param dialect how the receiver of the answer speaks; other nodes speak that of lycheehill.
      * @param extra sets further headers.
      */
     fun giveUp(
@@ -22,20 +25,18 @@
         reason: String,
         version: Long? = null,
         retryAfterMs: Long? = null,
+        dialect: CallDialect = LycheehillDialect,
         extra: (HttpHeaders) -> Unit = {},
     ) {
         val headers = HeaderRules.newHeaders()
         headers.set(CallHeaders.VERDICT, verdict.headerValue)
         headers.set(CallHeaders.REASON, reason)
         version?.let { headers.set(CallHeaders.VERSION, it.toString()) }
-        retryAfterMs?.let {
-            headers.set(CallHeaders.RETRY_AFTER_MS, it.toString())
-            headers.set(HttpHeaderNames.RETRY_AFTER, ((it + 999) / 1_000).toString())
-        }
+        dialect.toCaller(headers, call.headers, retryAfterMs)
         call.headers.get(CallHeaders.CALL_ID)?.let { headers.set(CallHeaders.CALL_ID, it) }
         extra(headers)
         headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
         val text = "${verdict.headerValue}: $reason\n"
-        call.respond(status, headers, ByteBufUtil.writeUtf8(ByteBufAllocator.DEFAULT, text))
+        call.respond(dialect.statusOf(status, verdict), headers, ByteBufUtil.writeUtf8(ByteBufAllocator.DEFAULT, text))
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -11,7 +11,9 @@
 import dev.lycheehill.calls.verdict.RetryAllowance
 import dev.lycheehill.config.model.Priority
 import dev.lycheehill.core.Verdict
+import dev.lycheehill.core.time.NANOS_PER_MILLI
 import dev.lycheehill.node.egress.TraceIds
+import dev.lycheehill.node.dialect.BackendAnswer
 import dev.lycheehill.node.http.CallHeaders
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.http.InboundCallListener
@@ -28,6 +30,7 @@
 import dev.lycheehill.node.upstream.ExchangeFailure
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
@@ -55,7 +58,11 @@
             sizeBytes = call.body.readableBytes(),
             deadline = deadline,
             listener = this,
+            aim = Deadline.received(call.headers.get(CallHeaders.AIM_MS), DEFAULT_TIMEOUT_MS, System.nanoTime()),
+            acceptsLate = call.headers.get(CallHeaders.AIM_MS) == null || call.headers.contains(CallHeaders.ACCEPTS_LATE),
+            isChild = call.headers.contains(CallHeaders.CHILD),
         )
+    private val requestId = environment.dialect.requestId(call.headers)
     private val treeId = TraceIds.treeOf(call.headers)
     private val span = environment.spans.start(Hop.INGRESS, call.headers.get(CallHeaders.TRACEPARENT))
     private val arrivedNanos = System.nanoTime()
@@ -85,7 +92,7 @@
         when (val result = environment.admission.offer(admitted, now)) {
             is AdmissionResult.Admitted -> run(now)
             is AdmissionResult.Rejected -> refuse(result)
-            is AdmissionResult.Queued -> Unit
+            is AdmissionResult.Queued -> environment.ticks.onQueued()
         }
     }
 
@@ -116,12 +123,23 @@
     }
 
     override fun onWhole(response: CollectedResponse) {
+        if (response.answer == BackendAnswer.NOT_RUN) {
+            refusedByBackend(response)
+            return
+        }
         val answerHeaders = headers.toPeer(response.headers, ended(Verdict.RAN, response))
         endSpan(Verdict.RAN, response.status, null)
         if (environment.crashes.isWatching) environment.crashes.succeeded(fingerprint)
         call.respond(response.status, answerHeaders, response.body)
     }
 
+    private fun refusedByBackend(response: CollectedResponse) {
+        response.body.release()
+        ended(Verdict.NOT_RUN)
+        environment.metrics.shed(ShedReason.BACKEND)
+        refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "backend-refused", RETRY_MS) { it.set(CallHeaders.ARRIVED, "1") }
+    }
+
     override fun onTooLong(collector: ResponseCollector) {
         streaming = true
         collector.streamTo(call, headers.toPeer(collector.head.headers(), unusedRetries = 0))
@@ -135,6 +153,7 @@
     override fun onFailure(failure: ExchangeFailure) {
         val unused = ended(failure.verdict)
         endSpan(failure.verdict, null, failure.kind.reason)
+        if (failure.kind == ExchangeFailure.Kind.CONNECT) environment.target.onUnreachable()
         val mayHaveCrashed = failure.verdict == Verdict.MAY_HAVE_RUN && failure.kind in closedKinds
         if (mayHaveCrashed) reportCrashIfDown { answer(failure, unused) } else answer(failure, unused)
     }
@@ -149,7 +168,10 @@
         }
         val status = if (failure.kind == ExchangeFailure.Kind.SILENT) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.BAD_GATEWAY
         val reason = "backend-${failure.kind.reason}"
-        NodeResponses.giveUp(call, status, failure.verdict, reason, extra = { it.set(CallHeaders.RETRIES_LEFT, unusedRetries) })
+        NodeResponses.giveUp(call, status, failure.verdict, reason) {
+            it.set(CallHeaders.RETRIES_LEFT, unusedRetries)
+            if (failure.kind == ExchangeFailure.Kind.CONNECT) it.set(CallHeaders.UNAVAILABLE, "1")
+        }
     }
 
     // The caller of a queued call may have gone while the start was on its way to this event loop.
@@ -200,10 +222,16 @@
         nowNanos: Long,
     ) {
         val remainingMs = deadline.remainingMs(nowNanos)
-        timer = loop.eventLoop.schedule(::onDeadline, deadline.remainingNanos(nowNanos), TimeUnit.NANOSECONDS)
-        val progressMs = minOf(remainingMs, call.headers.get(CallHeaders.PROGRESS_MS)?.toLongOrNull() ?: remainingMs)
+        timer = loop.eventLoop.schedule(::onDeadline, remainingMs + environment.settings.deadlineGraceMs, TimeUnit.MILLISECONDS)
+        val limitMs = remainingMs + environment.settings.deadlineGraceMs
+        val progressMs = minOf(limitMs, call.headers.get(CallHeaders.PROGRESS_MS)?.toLongOrNull() ?: limitMs)
         val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method, call.uri, headers.toBackend(remainingMs, span.traceparent))
-        val next = ResponseCollector(environment.settings.maxBufferedResponseBytes, expectedCallId = null, listener = this)
+        val next =
+            ResponseCollector(
+                maxBytes = environment.settings.maxBufferedResponseBytes,
+                judge = { environment.dialect.answerOf(it, requestId) },
+                listener = this,
+            )
         collector = next
         next.exchange = loop.upstreams.pool(address).send(head, call.body.retainedDuplicate(), progressMs, next)
     }
@@ -288,7 +316,7 @@
         status: HttpResponseStatus?,
         reason: String?,
     ) {
-        span.end(
+        val result =
             HopResult(
                 route = admitted.route,
                 version = call.headers.get(CallHeaders.VERSION)?.toLongOrNull() ?: 0,
@@ -296,18 +324,39 @@
                 queueNanos = if (startNanos == 0L) 0 else startNanos - arrivedNanos,
                 status = status?.code(),
                 reason = reason,
-            ),
-        )
+            )
+        span.end(result)
+        if (result.failed) logEnd(result)
     }
 
+    private fun logEnd(result: HopResult) =
+        environment.decisions.write(
+            "target-call-ended",
+            "request" to requestId,
+            "route" to result.route,
+            "verdict" to result.verdict.headerValue,
+            "status" to result.status,
+            "reason" to result.reason,
+            "in_flight" to environment.admission.inFlight,
+            "queued" to environment.admission.queued,
+            "queue_ms" to result.queueNanos / NANOS_PER_MILLI,
+            "elapsed_ms" to (System.nanoTime() - arrivedNanos) / NANOS_PER_MILLI,
+            "left_ms" to deadline.remainingMs(System.nanoTime()),
+            "instance" to environment.target.registration()?.instanceId,
+        )
+
     private fun refuse(
         status: HttpResponseStatus,
         reason: String,
         retryAfterMs: Long?,
+        extra: (HttpHeaders) -> Unit = {},
     ) {
         stage = Stage.DONE
         endSpan(Verdict.NOT_RUN, status, reason)
-        NodeResponses.giveUp(call, status, Verdict.NOT_RUN, reason, retryAfterMs = retryAfterMs, extra = headers::setLoad)
+        NodeResponses.giveUp(call, status, Verdict.NOT_RUN, reason, retryAfterMs = retryAfterMs) {
+            headers.setLoad(it)
+            extra(it)
+        }
     }
 
     private inline fun <reified T : Enum<T>> enumHeader(
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
@@ -3,7 +3,9 @@
 import dev.lycheehill.calls.admission.AdmissionControl
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.dialect.CallDialect
 import dev.lycheehill.node.keys.KeyGate
+import dev.lycheehill.node.logging.DecisionLog
 import dev.lycheehill.node.loop.LoopContexts
 import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.quarantine.CrashWatch
@@ -21,4 +23,8 @@
     val metrics: NodeMetrics,
     val spans: SpanRecorder,
     val keys: KeyGate?,
+    val dialect: CallDialect,
+    val ticks: AdmissionTicks,
+    val nodeId: String,
+    val decisions: DecisionLog,
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressHandler.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressHandler.kt
@@ -14,7 +14,9 @@
     override fun handle(call: InboundCall) {
         val refusal = refusalOf(call)
         if (refusal != null) {
-            NodeResponses.giveUp(call, HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.NOT_RUN, refusal, retryAfterMs = REFUSED_RETRY_MS)
+            NodeResponses.giveUp(call, HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.NOT_RUN, refusal, retryAfterMs = REFUSED_RETRY_MS) {
+                it.set(CallHeaders.UNAVAILABLE, "1")
+            }
             return
         }
         IngressCall(environment, environment.loops.of(call.eventLoop), call).start()
@@ -23,6 +25,8 @@
     // The instance at an address can be replaced by one of another service while callers still hold the old record.
     private fun refusalOf(call: InboundCall): String? {
         environment.target.refusal()?.let { return it }
+        val target = call.headers.get(CallHeaders.TARGET)
+        if (target != null && target != environment.nodeId) return "wrong-target"
         val service = call.headers.get(CallHeaders.SERVICE)
         return "wrong-service".takeIf { service != environment.target.registration()?.service }
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressHeaders.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressHeaders.kt
@@ -1,7 +1,9 @@
 package dev.lycheehill.node.ingress
 
 import dev.lycheehill.calls.keys.KeyRefusal
+import dev.lycheehill.calls.balancing.LoadReport
 import dev.lycheehill.core.Verdict
+import dev.lycheehill.node.dialect.BackendFacts
 import dev.lycheehill.node.egress.LoadHeader
 import dev.lycheehill.node.http.CallHeaders
 import dev.lycheehill.node.http.HeaderRules
@@ -22,7 +24,14 @@
     ): HttpHeaders {
         val headers = HeaderRules.endToEnd(call.headers)
         HeaderRules.setLength(headers, call)
-        headers.set(CallHeaders.DEADLINE_MS, remainingMs.toString())
+        environment.dialect.toBackend(
+            headers,
+            BackendFacts(
+                remainingMs = remainingMs,
+                instanceId = environment.target.registration()?.instanceId.orEmpty(),
+                callerService = call.headers.get(CallHeaders.CALLER_SERVICE).orEmpty(),
+            ),
+        )
         if (traceparent.isNotEmpty()) headers.set(CallHeaders.TRACEPARENT, traceparent)
         call.headers.get(CallHeaders.RETRIES_LEFT)?.let { headers.set(CallHeaders.RETRIES_LEFT, it) }
         return headers
@@ -51,6 +60,13 @@
 
     /** Adds the load of the target. */
     fun setLoad(headers: HttpHeaders) {
-        headers.set(CallHeaders.LOAD, LoadHeader.format(environment.admission.inFlight, environment.target.meanLatencyNanos))
+        val load =
+            LoadReport(
+                inFlight = environment.admission.inFlight,
+                latencyNanos = environment.target.meanLatencyNanos,
+                queued = environment.admission.queued,
+                slots = environment.target.registration()?.slots ?: 0,
+            )
+        headers.set(CallHeaders.LOAD, LoadHeader.format(load))
     }
 }
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
@@ -0,0 +1,153 @@
+package dev.lycheehill.node.peer
+
+import dev.lycheehill.fleet.store.Beacon
+import dev.lycheehill.fleet.store.PeerChannel
+import dev.lycheehill.fleet.store.SyncReply
+import dev.lycheehill.fleet.store.SyncRequest
+import dev.lycheehill.node.DataPathServer
+import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.client.HttpCaller
+import dev.lycheehill.node.http.CallHandler
+import dev.lycheehill.node.http.HeaderRules
+import dev.lycheehill.node.http.InboundCall
+import dev.lycheehill.node.loop.Transport
+import dev.lycheehill.node.metrics.NodeMetrics
+import dev.lycheehill.node.settings.HostPort
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import java.net.InetSocketAddress
+
+/**
+ * Messages between nodes on one port: beacons as datagrams, requests over HTTP, both in CBOR. Used on [eventLoop] only.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+class PeerLink(
+    private val listen: HostPort,
+    private val group: EventLoopGroup,
+    private val eventLoop: EventLoop,
+    metrics: NodeMetrics,
+) : PeerChannel {
+    override var onBeacon: (Beacon) -> Unit = {}
+    override var onRequest: (SyncRequest) -> SyncReply = { SyncReply(0, null, emptyList()) }
+
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+    private val caller = HttpCaller(eventLoop, CONNECT_TIMEOUT_MS, KEEP_ALIVE_IDLE_S)
+    private val server = DataPathServer(DataPathSettings(), Transport.NIO, group, CallHandler(::serve), metrics)
+    private lateinit var datagrams: Channel
+
+    /** Binds the port. */
+    fun start() {
+        server.start(listen)
+        datagrams =
+            Bootstrap()
+                .group(eventLoop)
+                .channel(NioDatagramChannel::class.java)
+                .handler(Receiver())
+                .bind(listen.host, listen.port)
+                .sync()
+                .channel()
+    }
+
+    /** Closes the port. */
+    fun stop() {
+        server.closeNow()
+        datagrams.close()
+    }
+
+    override fun send(
+        address: String,
+        beacon: Beacon,
+    ) {
+        val bytes = Unpooled.wrappedBuffer(cbor.encodeToByteArray(Beacon.serializer(), beacon))
+        datagrams.writeAndFlush(DatagramPacket(bytes, socketAddress(address)), datagrams.voidPromise())
+    }
+
+    override fun ask(
+        address: String,
+        request: SyncRequest,
+        listener: (SyncReply?) -> Unit,
+    ) {
+        val body = cbor.encodeToByteArray(SyncRequest.serializer(), request)
+        caller.call(address, HttpMethod.POST, SYNC_PATH, body, CBOR_TYPE, ANSWER_TIMEOUT_MS) { result ->
+            result.fold({
+                log.info { "no state from $address: ${it.reason}" }
+                listener(null)
+            }) { listener(decode(SyncReply.serializer(), it.body, address)) }
+        }
+    }
+
+    private fun serve(call: InboundCall) {
+        val request = decode(SyncRequest.serializer(), ByteBufUtil.getBytes(call.body), "${call.callerAddress}")
+        val status = if (request == null) HttpResponseStatus.BAD_REQUEST else HttpResponseStatus.OK
+        val body = request?.let { cbor.encodeToByteArray(SyncReply.serializer(), onRequest(it)) } ?: ByteArray(0)
+        call.respond(status, HeaderRules.newHeaders(), Unpooled.wrappedBuffer(body))
+    }
+
+    private fun <T> decode(
+        serializer: KSerializer<T>,
+        bytes: ByteArray,
+        source: String,
+    ): T? =
+        try {
+            cbor.decodeFromByteArray(serializer, bytes)
+        } catch (e: SerializationException) {
+            unreadable(source, e)
+        } catch (e: IllegalArgumentException) {
+            unreadable(source, e)
+        }
+
+    private fun unreadable(
+        source: String,
+        cause: Exception,
+    ): Nothing? {
+        log.warn { "unreadable message from $source: ${cause.message}" }
+        return null
+    }
+
+    private fun socketAddress(address: String) =
+        InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+
+    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(
+            ctx: ChannelHandlerContext,
+            packet: DatagramPacket,
+        ) {
+            decode(Beacon.serializer(), ByteBufUtil.getBytes(packet.content()), "${packet.sender()}")?.let { onBeacon(it) }
+        }
+
+        // A datagram to a node that has ended is answered by an ICMP message, which says nothing about this socket.
+        @Deprecated("Deprecated in Java")
+        override fun exceptionCaught(
+            ctx: ChannelHandlerContext,
+            cause: Throwable,
+        ) {
+            log.debug { "datagram not delivered: ${cause.message}" }
+        }
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val SYNC_PATH = "/v1/sync"
+        const val CBOR_TYPE = "application/cbor"
+
+        // A few round trips between zones.
+        const val CONNECT_TIMEOUT_MS = 300
+        const val ANSWER_TIMEOUT_MS = 700L
+        const val KEEP_ALIVE_IDLE_S = 2
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/policy/SlotPolicies.kt
@@ -0,0 +1,51 @@
+package dev.lycheehill.node.policy
+
+import dev.lycheehill.calls.admission.AdmissionControl
+import dev.lycheehill.calls.admission.SlotAdmission
+import dev.lycheehill.calls.admission.SlotAdmissionSettings
+import dev.lycheehill.calls.balancing.TargetPicker
+import dev.lycheehill.calls.balancing.WaitAwarePicker
+import dev.lycheehill.calls.hedging.HedgePolicy
+import dev.lycheehill.calls.hedging.LatencyQuantile
+import dev.lycheehill.calls.hedging.NoHedging
+import dev.lycheehill.calls.verdict.BudgetedRetryPolicy
+import dev.lycheehill.calls.verdict.RetryBudget
+import dev.lycheehill.calls.verdict.RetryPolicy
+import dev.lycheehill.config.model.Service
+
+/**
+ * Policies for deployments in which the target's node is the only way to its backend server, whose slots are known, and
+ * calls state the time within which an answer has its full value.
+ *
+ * @param maxMoves how often a call is moved between nodes before it reaches a backend server.
+ */
+class SlotPolicies(
+    private val maxMoves: Int = DEFAULT_MOVES,
+) : CallPolicies {
+    override fun newPicker(
+        service: Service,
+        zone: String,
+        seed: Long,
+    ): TargetPicker = WaitAwarePicker(zone, seed)
+
+    override fun newRetryPolicy(
+        service: Service,
+        budget: RetryBudget,
+    ): RetryPolicy = BudgetedRetryPolicy(budget, maxMoves = maxMoves)
+
+    override fun newHedgePolicy(
+        service: Service,
+        latency: LatencyQuantile,
+        budget: RetryBudget,
+    ): HedgePolicy = NoHedging
+
+    override fun newAdmission(
+        slots: Int,
+        maxQueue: Int,
+    ): AdmissionControl = SlotAdmission(SlotAdmissionSettings(slots = slots))
+
+    private companion object {
+        // Four other targets see most of the spare room; each move costs about one round trip.
+        const val DEFAULT_MOVES = 5
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
@@ -0,0 +1,172 @@
+package dev.lycheehill.node.program
+
+import dev.lycheehill.fleet.membership.MemberRecord
+import dev.lycheehill.fleet.membership.MemberState
+import dev.lycheehill.fleet.store.ConfigurationDecoder
+import dev.lycheehill.fleet.store.FleetChange
+import dev.lycheehill.fleet.store.StoreFleet
+import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.LycheehillNode
+import dev.lycheehill.node.NodeEdges
+import dev.lycheehill.node.NodeListener
+import dev.lycheehill.node.dialect.CallDialect
+import dev.lycheehill.node.logging.DecisionLog
+import dev.lycheehill.node.loop.EventLoopTimers
+import dev.lycheehill.node.loop.Transport
+import dev.lycheehill.node.metrics.NodeMeter
+import dev.lycheehill.node.metrics.NodeMetrics
+import dev.lycheehill.node.peer.PeerLink
+import dev.lycheehill.node.policy.CallPolicies
+import dev.lycheehill.node.policy.SlotPolicies
+import dev.lycheehill.node.target.LocalTarget
+import dev.lycheehill.platformlog.keyed.KeyedStore
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import java.net.InetAddress
+import java.util.concurrent.TimeUnit
+
+/**
+ * One whole node of a deployment whose nodes meet at the platform's store: data path, part in the fleet, listeners.
+ *
+ * Everything runs on one event loop, so a node costs one thread.
+ *
+ * @param store makes the client of the store on the node's event loop.
+ * @param listeners makes the listeners of the deployment.
+ */
+class StoreNode(
+    private val settings: StoreNodeSettings,
+    store: (EventLoop) -> KeyedStore,
+    decoder: ConfigurationDecoder,
+    dialect: CallDialect,
+    listeners: (StoreNode) -> List<NodeListener>,
+    policies: CallPolicies = SlotPolicies(),
+) {
+    private val group: EventLoopGroup = Transport.NIO.newGroup(1, "lycheehill")
+    private val eventLoop: EventLoop = group.next() as EventLoop
+
+    /** Timers on the event loop of the node. */
+    val timers = EventLoopTimers(eventLoop)
+    private val metrics = NodeMetrics()
+    private val decisions = DecisionLog()
+    private val seed = settings.nodeId.hashCode().toLong() xor timers.nowNanos()
+    private val peers = PeerLink(settings.peer, group, eventLoop, metrics)
+
+    /** The node's part in the fleet. */
+    val fleet = StoreFleet(identity(), store(eventLoop), decoder, peers, timers, seed = seed, onChange = ::log)
+
+    private val node =
+        LycheehillNode(
+            settings = dataPathSettings(),
+            fleet = fleet,
+            timers = timers,
+            policies = policies,
+            transport = Transport.NIO,
+            metrics = metrics,
+            dialect = dialect,
+            edges =
+                NodeEdges(
+                    group = group,
+                    listeners = listeners(this),
+                    backendAddress = InetAddress.getByName(settings.backend.host),
+                ),
+        )
+
+    @Volatile
+    private var stopping = false
+
+    /** The backend server beside this node. */
+    val target: LocalTarget get() = node.target
+
+    /** Whether callers should be sent here: there is a configuration, and the node does not stop. */
+    val isReady: Boolean get() = !stopping && fleet.isReady
+
+    /** Lease of the backend server after an announcement. */
+    val leaseMs: Long get() = settings.leaseMs
+
+    /** Starts to serve and to follow the store. */
+    fun start() {
+        metrics.bindGauge(NodeMeter.LOG_UP) { if (fleet.isStoreLost) 0 else 1 }
+        peers.start()
+        node.start()
+        eventLoop.submit(fleet::start).sync()
+        log.info { "node ${settings.nodeId} of service ${settings.service} in zone ${settings.zone} serves" }
+    }
+
+    /** Stops gracefully: callers are told first, calls in flight end, others learn that the node has left. */
+    fun stop() {
+        val startNanos = System.nanoTime()
+        stopping = true
+        log.info { "stopping; calls in flight: ${target.inFlight}" }
+        eventLoop.submit { node.drain() }.sync()
+        Thread.sleep(settings.leaveNoticeMs)
+        val elapsedMs = (System.nanoTime() - startNanos) / NANOS_PER_MILLI
+        node.finish(settings.stopMs - elapsedMs)
+        eventLoop.submit(fleet::leave).sync()
+        Thread.sleep(LAST_WRITE_MS)
+        log.info { "stopped after ${(System.nanoTime() - startNanos) / NANOS_PER_MILLI} ms" }
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
+    private fun identity() =
+        MemberRecord(
+            nodeId = settings.nodeId,
+            // Above that of an earlier process of this node, unless the clock was set back; then it is raised later.
+            incarnation = timers.wallMillis(),
+            state = MemberState.COLD,
+            zone = settings.zone,
+            region = settings.region,
+            controlAddress = settings.peer.toString(),
+            dataAddress = settings.ingress.toString(),
+            bootId = seed,
+        )
+
+    private fun dataPathSettings() =
+        DataPathSettings(
+            egress = settings.egress,
+            ingress = settings.ingress,
+            localApi = settings.localApi,
+            eventLoops = 1,
+            callerIdleTimeoutMs = CALLER_IDLE_MS,
+            connectTimeoutMs = settings.connectTimeoutMs,
+            targetLeaseMs = settings.leaseMs,
+            deadlineGraceMs = settings.deadlineGraceMs,
+            endsSilentCalls = false,
+            retriesServerErrors = true,
+            callerService = settings.service,
+            seed = seed,
+        )
+
+    private fun log(change: FleetChange) =
+        when (change) {
+            is FleetChange.ConfigurationInForce ->
+                decisions.write("configuration-in-force", "version" to change.version, "routes" to change.routes, "source" to change.source)
+            is FleetChange.ConfigurationUnreadable ->
+                decisions.write("configuration-unreadable", "offset" to change.offset, "reason" to change.reason)
+            is FleetChange.Member ->
+                decisions.write(
+                    "member-changed",
+                    "member" to change.record.nodeId,
+                    "state" to change.record.state,
+                    "service" to change.record.service,
+                    "incarnation" to change.record.incarnation,
+                )
+            is FleetChange.RecordUnreadable -> decisions.write("member-unreadable", "key" to change.key, "reason" to change.reason)
+            is FleetChange.StoreLost -> decisions.write("store-lost", "topic" to change.topic, "reason" to change.reason)
+            is FleetChange.StoreRegained -> decisions.write("store-regained", "topic" to change.topic)
+            is FleetChange.RecordNotWritten -> decisions.write("record-not-written", "reason" to change.reason)
+            is FleetChange.RecordWritten ->
+                decisions.write("record-written", "incarnation" to change.incarnation, "failures" to change.failures)
+        }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val NANOS_PER_MILLI = 1_000_000L
+
+        // Above any idle time that an operator's configuration lets callers use.
+        const val CALLER_IDLE_MS = 300_000L
+
+        // A write to the store takes a few milliseconds.
+        const val LAST_WRITE_MS = 100L
+    }
+}
--- a/node/src/main/kotlin/dev/lycheehill/node/relay/CollectedResponse.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/relay/CollectedResponse.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.node.relay
 
+import dev.lycheehill.node.dialect.BackendAnswer
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -9,4 +10,5 @@
     val status: HttpResponseStatus,
     val headers: HttpHeaders,
     val body: ByteBuf,
+    val answer: BackendAnswer,
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/relay/ResponseCollector.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/relay/ResponseCollector.kt
@@ -1,8 +1,8 @@
 package dev.lycheehill.node.relay
 
 import dev.lycheehill.core.Verdict
+import dev.lycheehill.node.dialect.BackendAnswer
 import dev.lycheehill.node.http.BodyBuffer
-import dev.lycheehill.node.http.CallHeaders
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.upstream.Exchange
 import dev.lycheehill.node.upstream.ExchangeFailure
@@ -18,11 +18,11 @@
  * Holds a response until it is whole. A response above [maxBytes] is streamed to the caller instead, and reading from
  * the peer stops while the caller's connection accepts no more.
  *
- * @param expectedCallId value that the response must repeat in `lycheehill-call-id`; null when the peer is no node.
+ * @param judge tells what a response means for the request that was sent.
  */
 internal class ResponseCollector(
     private val maxBytes: Int,
-    private val expectedCallId: String?,
+    private val judge: (HttpResponse) -> BackendAnswer,
     private val listener: CollectorListener,
 ) : ExchangeListener {
     private val body = BodyBuffer(ByteBufAllocator.DEFAULT)
@@ -35,9 +35,14 @@
 
     lateinit var exchange: Exchange
 
+    private var answer = BackendAnswer.RAN
+
+    override fun isForeign(response: HttpResponse): Boolean = judge(response) == BackendAnswer.OTHER_REQUEST
+
     override fun onResponse(response: HttpResponse) {
         head = response
-        if (expectedCallId != null && response.headers().get(CallHeaders.CALL_ID) != expectedCallId) {
+        answer = judge(response)
+        if (answer == BackendAnswer.INVALID) {
             exchange.cancel()
             onFailure(ExchangeFailure(Verdict.MAY_HAVE_RUN, ExchangeFailure.Kind.BAD_RESPONSE))
         }
@@ -87,7 +92,7 @@
         body.add(content.content())
         if (content is LastHttpContent) {
             done = true
-            listener.onWhole(CollectedResponse(head.status(), head.headers(), body.take()))
+            listener.onWhole(CollectedResponse(head.status(), head.headers(), body.take(), answer))
         } else if (body.sizeBytes > maxBytes) {
             listener.onTooLong(this)
         }
--- a/node/src/main/kotlin/dev/lycheehill/node/routing/RouteDecision.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/routing/RouteDecision.kt
@@ -15,9 +15,5 @@
     val timeoutMs: Int get() = route.timeoutMs ?: service.timeoutMs
 
     /** Whether a call with [method] may run more than once. */
-    fun isIdempotent(method: String): Boolean = route.idempotent ?: (method in IDEMPOTENT_METHODS)
-
-    private companion object {
-        val IDEMPOTENT_METHODS = setOf("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
-    }
+    fun isIdempotent(method: String): Boolean = route.isIdempotent(method)
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/routing/Router.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/routing/Router.kt
@@ -19,17 +19,17 @@
         call: InboundCall,
         random: SplittableRandom,
     ): RouteDecision? {
-        val table = tableOf(state.content)
-        val host =
-            call.headers
-                .get(HttpHeaderNames.HOST)
-                .orEmpty()
-                .substringBefore(':')
-        val route = table.match(host, call.path, call.method.name()) ?: return null
+        val route = routeOf(state, call) ?: return null
         val service = state.content.services[chooseService(route, random)] ?: return null
         return RouteDecision(state.version, route, service)
     }
 
+    /** Whether [call] has a route in [state] on which it may run more than once. */
+    fun isIdempotent(
+        state: FoldState,
+        call: InboundCall,
+    ): Boolean = routeOf(state, call)?.isIdempotent(call.method.name()) ?: false
+
     /** Returns the route of a request in [state], or null when none matches. */
     fun match(
         state: FoldState,
@@ -38,6 +38,18 @@
         method: String,
     ): Route? = tableOf(state.content).match(host, path, method)
 
+    private fun routeOf(
+        state: FoldState,
+        call: InboundCall,
+    ): Route? {
+        val host =
+            call.headers
+                .get(HttpHeaderNames.HOST)
+                .orEmpty()
+                .substringBefore(':')
+        return tableOf(state.content).match(host, call.path, call.method.name())
+    }
+
     private fun tableOf(content: ConfigContent): RouteTable {
         val current = compiled
         if (current.content === content) return current.table
--- a/node/src/main/kotlin/dev/lycheehill/node/target/LocalTarget.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/LocalTarget.kt
@@ -39,6 +39,9 @@
     @Volatile
     var reportedLoad: TargetLoad? = null
 
+    @Volatile
+    private var downUntilNanos = timers.nowNanos()
+
     /** Whether this node drains. */
     val isDraining: Boolean get() = draining
 
@@ -74,6 +77,11 @@
         publish()
     }
 
+    /** The backend server accepted no connection, so calls are refused for a short time. */
+    fun onUnreachable() {
+        downUntilNanos = timers.nowNanos() + DOWN_MS * NANOS_PER_MILLI
+    }
+
     /** Publishes an expired lease. Called periodically. */
     @Synchronized
     fun checkLease() {
@@ -88,6 +96,7 @@
             current == null -> "no-target"
             isLeaseExpired() -> "lease-expired"
             current.state >= MemberState.DRAINING -> "draining"
+            timers.nowNanos() - downUntilNanos < 0 -> "backend-down"
             else -> null
         }
     }
@@ -120,5 +129,8 @@
     private companion object {
         val log = KotlinLogging.logger {}
         const val LATENCY_SMOOTHING = 8
+
+        // A restarted backend server is back within seconds; a call finds out every half second.
+        const val DOWN_MS = 500L
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/target/TargetRegistration.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/TargetRegistration.kt
@@ -6,6 +6,7 @@
  * What the backend server beside this node has announced.
  *
  * @property address `ip:port` of the backend server.
+ * @property instanceId name that this start of the backend server gave itself; empty when it gave none.
  * @property slots calls that it can run at a time.
  */
 data class TargetRegistration(
@@ -14,4 +15,5 @@
     val state: MemberState,
     val slots: Int,
     val leaseMs: Long,
+    val instanceId: String = "",
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/Exchange.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/Exchange.kt
@@ -57,6 +57,8 @@
         scheduleCheck(progressLimitMs)
     }
 
+    fun isForeign(response: HttpResponse): Boolean = !isDone && listener.isForeign(response)
+
     fun response(response: HttpResponse) {
         progress()
         hasResponse = true
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/UpstreamConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/UpstreamConnection.kt
@@ -29,7 +29,7 @@
     private var headSent = false
     private var requestSent = false
     private var responseEnded = false
-    private var skipsInterim = false
+    private var passesOver = false
     private var reusable = true
 
     var idleSinceNanos: Long = 0
@@ -48,7 +48,7 @@
         headSent = false
         requestSent = false
         responseEnded = false
-        skipsInterim = false
+        passesOver = false
         next.attached(this)
         send(next)
     }
@@ -118,13 +118,16 @@
         message: HttpObject,
     ) {
         if (message is HttpResponse) {
-            skipsInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            if (skipsInterim) return
+            val foreign = active.isForeign(message)
+            // A peer that sent a response too many may do so again.
+            if (foreign) reusable = false
+            passesOver = foreign || message.status().codeClass() == HttpStatusClass.INFORMATIONAL
+            if (passesOver) return
             if (!HttpUtil.isKeepAlive(message)) reusable = false
             active.response(message)
         }
         if (message is HttpContent) {
-            if (skipsInterim) message.release() else deliver(active, message)
+            if (passesOver) message.release() else deliver(active, message)
         }
     }
 
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/Upstreams.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/Upstreams.kt
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.handler.codec.http.HttpClientCodec
+import jdk.net.ExtendedSocketOptions
 import java.net.InetSocketAddress
 
 /** Connection pools of one event loop by address of the peer. Used on that event loop only. */
@@ -24,6 +26,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMs)
             .handler(Initializer)
+            .apply { if (settings.keepAliveIdleS > 0) probeWhenIdle(settings.keepAliveIdleS) }
 
     /** Returns the pool for [address], written as `ip:port`. */
     fun pool(address: String): ConnectionPool = pools.getOrPut(address) { newPool(address) }
@@ -50,6 +53,18 @@
             maxConnections = settings.maxConnectionsPerPeer,
         )
 
+    // Only a probe shows that a connection has fallen silent while this side waits.
+    private fun Bootstrap.probeWhenIdle(idleS: Int): Bootstrap =
+        option(ChannelOption.SO_KEEPALIVE, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), idleS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+
+    private companion object {
+        // Two probes a second apart, so that one lost packet closes no connection.
+        const val KEEP_ALIVE_PROBES = 2
+    }
+
     private object Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             channel.pipeline().addLast(HttpClientCodec())
--- /dev/null
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/FollowerSettings.kt
@@ -0,0 +1,17 @@
+package dev.lycheehill.platformlog.keyed
+
+/**
+ * Times of a [TopicFollower].
+ *
+ * @property waitMs longest wait of a read without new records; each read is priced by the platform.
+ * @property pauseMs pause after new records, so that changes in quick succession cost one read; a part of the 2 s in
+ *   which a configuration must be in force.
+ * @property firstBackoffMs longest pause after the first failed call.
+ * @property maxBackoffMs longest pause between failed calls; entries must be back 2 s after the store is.
+ */
+data class FollowerSettings(
+    val waitMs: Long = 15_000,
+    val pauseMs: Long = 500,
+    val firstBackoffMs: Long = 100,
+    val maxBackoffMs: Long = 1_000,
+)
--- /dev/null
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
@@ -0,0 +1,116 @@
+package dev.lycheehill.platformlog.keyed
+
+import arrow.core.Either
+import dev.lycheehill.core.time.TimerService
+import dev.lycheehill.platformlog.Backoff
+import kotlin.random.Random
+
+/**
+ * Follows one topic: takes the newest record of each key, then every later record.
+ *
+ * Records may be delivered twice and, after a compaction, in order of keys, so [onRecord] decides by the content. Used on
+ * the thread of the store's client and of [timers], which are the same.
+ *
+ * @param onLink told when the store is lost or regained, with the reason.
+ */
+class TopicFollower(
+    private val store: KeyedStore,
+    private val topic: KeyedTopic,
+    private val timers: TimerService,
+    private val settings: FollowerSettings,
+    private val random: Random,
+    private val onRecord: (KeyedRecord) -> Unit,
+    private val onLink: (StoreError?) -> Unit,
+) {
+    private val backoff = Backoff(random, settings.firstBackoffMs, settings.maxBackoffMs)
+    private var nextOffset = 0L
+    private var failures = 0
+    private var stopped = false
+
+    /** Whether the newest records have been read once. */
+    var isCaughtUp = false
+        private set
+
+    /** Whether the last call failed. */
+    val isLost: Boolean get() = failures > 0
+
+    /** Starts to follow. */
+    fun start() = readNewest(after = null, endOffset = null)
+
+    /** Ends following; a call in progress is ignored. */
+    fun stop() {
+        stopped = true
+    }
+
+    private fun readNewest(
+        after: String?,
+        endOffset: Long?,
+    ) {
+        store.newest(topic, after) { result ->
+            received(result, { readNewest(after, endOffset) }) { page -> newestRead(page, endOffset ?: page.endOffset) }
+        }
+    }
+
+    // Pages are not a snapshot, so reading continues from the end at the first page.
+    private fun newestRead(
+        page: NewestPage,
+        endOffset: Long,
+    ) {
+        page.records.forEach(onRecord)
+        if (page.hasMore && page.records.isNotEmpty()) {
+            readNewest(page.records.last().key, endOffset)
+            return
+        }
+        isCaughtUp = true
+        nextOffset = endOffset
+        read()
+    }
+
+    private fun read() {
+        // Reads of many nodes end at different times, so one of them soon finds a store that had fallen silent.
+        val waitMs = random.nextLong(settings.waitMs / 2, settings.waitMs)
+        store.read(topic, nextOffset, waitMs) { result ->
+            received(result, ::read, ::recordsRead)
+        }
+    }
+
+    private fun recordsRead(page: RecordPage) {
+        nextOffset = page.nextOffset
+        page.records.forEach(onRecord)
+        // Records that come in quick succession are read together.
+        if (page.records.isEmpty()) read() else later(settings.pauseMs, ::read)
+    }
+
+    private fun <T> received(
+        result: Either<StoreError, T>,
+        again: () -> Unit,
+        use: (T) -> Unit,
+    ) {
+        if (stopped) return
+        result.fold({ failed(it, again) }) {
+            if (failures > 0) onLink(null)
+            failures = 0
+            use(it)
+        }
+    }
+
+    private fun failed(
+        error: StoreError,
+        again: () -> Unit,
+    ) {
+        if (error is StoreError.Compacted) {
+            readNewest(after = null, endOffset = null)
+            return
+        }
+        if (failures == 0) onLink(error)
+        failures++
+        later(backoff.delayMs(failures), again)
+    }
+
+    private fun later(
+        delayMs: Long,
+        task: () -> Unit,
+    ) {
+        timers.after(delayMs) { if (!stopped) task() }
+    }
+}
