--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublication.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublication.kt
@@ -25,10 +25,15 @@
     private var wanted: MemberRecord? = null
     private var writing = false
     private var failures = 0
+    private var listener: () -> Unit = {}
 
-    /** Writes [record] and forgets an older one that is not written yet. */
-    fun publish(record: MemberRecord) {
+    /** Writes [record] and forgets an older one that is not written yet. [onWritten] is called after the next write. */
+    fun publish(
+        record: MemberRecord,
+        onWritten: () -> Unit = {},
+    ) {
         wanted = record
+        listener = onWritten
         if (!writing) write(record)
     }
 
@@ -43,6 +48,8 @@
         if (failures > 0) onChange(FleetChange.RecordWritten(record.incarnation, failures))
         failures = 0
         writing = false
+        listener()
+        listener = {}
         val newer = wanted
         if (newer == record) wanted = null else newer?.let(::write)
     }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -19,9 +19,9 @@
 /**
  * One node's part in a fleet that meets at the platform's store.
  *
- * Configurations and member records last at the store. Each node follows both topics. Besides, nodes send each other
- * beacons with their own record, their version and a hash of their table; a node that finds itself behind asks the
- * sender. So a node that the store turns away, and a zone that is cut off from it, still get what another node has.
+ * Configurations and member records last at the store. Each node follows the configurations and reads the records when
+ * it starts. From then on, nodes send each other beacons with their own record, their version and a hash of their table;
+ * a node that finds itself behind asks the sender. So a node that the store turns away, and a zone that is cut off from it, still get what another node has.
  *
  * All functions are called on the thread of [timers] but the reads of [FleetView], which take no lock.
  *
@@ -41,8 +41,11 @@
     private val members = ObservedMembers(identity, timers, settings)
     private val publication = RecordPublication(store, timers, settings, random, onChange)
     private val beacons = BeaconSchedule(settings, random)
-    private val configurations = follower(KeyedTopic.CONFIGURATION, ::configurationRead)
-    private val records = follower(KeyedTopic.MEMBERS, ::recordRead)
+    private val configurations =
+        TopicFollower(store, KeyedTopic.CONFIGURATION, timers, settings.follower, random, ::configurationRead) {
+            linkChanged(KeyedTopic.CONFIGURATION, it)
+        }
+    private val directory = DirectoryReader(store, timers, settings, random, ::recordRead) { linkChanged(KeyedTopic.MEMBERS, it) }
     private var subscription: Subscription? = null
     private var syncing = false
 
@@ -52,10 +55,10 @@
     override val self: MemberRecord get() = members.self
 
     /** Whether this node has a configuration and has read the members once, from the store or from another node. */
-    val isReady: Boolean get() = state.version > 0 && (records.isCaughtUp || members.hasPeers)
+    val isReady: Boolean get() = state.version > 0 && (directory.isRead || members.hasPeers)
 
     /** Whether the last call to the store failed. */
-    val isStoreLost: Boolean get() = configurations.isLost || records.isLost
+    val isStoreLost: Boolean get() = configurations.isLost || directory.isLost
 
     override fun members(): Map<String, MemberRecord> = members.view
 
@@ -68,8 +71,9 @@
         peers.onBeacon = ::beaconReceived
         peers.onRequest = ::answer
         configurations.start()
-        records.start()
-        publication.publish(self)
+        directory.read()
+        // Of two nodes that start at the same time, the one that reads after its write finds the other.
+        publication.publish(self) { directory.read() }
         subscription = timers.every(settings.beaconMs, ::tick)
     }
 
@@ -83,7 +87,7 @@
     fun stop() {
         subscription?.cancel()
         configurations.stop()
-        records.stop()
+        directory.stop()
     }
 
     override fun announce(
@@ -95,8 +99,9 @@
         publishSelf()
     }
 
+    // Other nodes learn a change from a beacon. The store tells nodes that start where the others are.
     private fun publishSelf() {
-        publication.publish(self)
+        if (self.state == MemberState.GONE) publication.publish(self)
         val beacon = beacon()
         members.peers().forEach { peers.send(it.controlAddress, beacon) }
     }
@@ -176,11 +181,6 @@
         }
     }
 
-    private fun follower(
-        topic: KeyedTopic,
-        onRecord: (KeyedRecord) -> Unit,
-    ) = TopicFollower(store, topic, timers, settings.follower, random, onRecord) { linkChanged(topic, it) }
-
     private fun linkChanged(
         topic: KeyedTopic,
         error: StoreError?,
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -33,6 +33,7 @@
 import dev.lycheehill.node.routing.EndpointIndex
 import dev.lycheehill.node.routing.Router
 import dev.lycheehill.node.target.LocalTarget
+import dev.lycheehill.node.target.RunningRequests
 import dev.lycheehill.node.tracing.NoSpans
 import dev.lycheehill.node.tracing.SpanRecorder
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -71,6 +72,7 @@
 
     private val group: EventLoopGroup = edges.group ?: transport.newGroup(settings.eventLoops, "lycheehill-data")
     private val decisions = DecisionLog()
+    private val running = RunningRequests()
     private val ticks = AdmissionTicks(admission, timers, ADMISSION_TICK_MS)
     private val loops = LoopContexts(group, transport, settings)
     private val crashes = CrashWatch(quarantine, evidence, fleet, timers)
@@ -147,7 +149,7 @@
     }
 
     private fun egressHandler() =
-        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans, keys, dialect, decisions, edges.backendAddress))
+        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans, keys, dialect, decisions, running))
 
     private fun apiEndpoints(): List<ApiEndpoint> =
         TargetEndpoints(target, settings.targetLeaseMs).all() + OperatorEndpoints(fleet, target, ::drain).all() +
@@ -155,7 +157,7 @@
             ObservationEndpoints(metrics, spans).all() + QuarantineEndpoints(quarantine, timers).all()
 
     private fun ingressHandler() =
-        IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops, crashes, metrics, spans, keys, dialect, ticks, fleet.self.nodeId, decisions))
+        IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops, crashes, metrics, spans, keys, dialect, ticks, fleet.self.nodeId, decisions, running))
 
     private companion object {
         val log = KotlinLogging.logger {}
--- a/node/src/main/kotlin/dev/lycheehill/node/dialect/CallDialect.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/dialect/CallDialect.kt
@@ -17,6 +17,9 @@
     /** Name of the request in logs; null when it has none. */
     fun requestId(request: HttpHeaders): String?
 
+    /** Name of the request whose run made the request named [requestId]; null when its name shows none. */
+    fun parentOf(requestId: String): String?
+
     /** Adds what the backend server expects to the headers of a request. */
     fun toBackend(
         headers: HttpHeaders,
--- a/node/src/main/kotlin/dev/lycheehill/node/dialect/LycheehillDialect.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/dialect/LycheehillDialect.kt
@@ -13,6 +13,8 @@
 
     override fun requestId(request: HttpHeaders): String? = request.get(CallHeaders.CALL_ID)
 
+    override fun parentOf(requestId: String): String? = null
+
     override fun toBackend(
         headers: HttpHeaders,
         facts: BackendFacts,
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
@@ -11,8 +11,8 @@
 import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.routing.EndpointIndex
 import dev.lycheehill.node.routing.Router
+import dev.lycheehill.node.target.RunningRequests
 import dev.lycheehill.node.tracing.SpanRecorder
-import java.net.InetAddress
 
 /** What all egress calls of a node share. */
 internal class EgressEnvironment(
@@ -28,8 +28,11 @@
     val keys: KeyGate?,
     val dialect: CallDialect,
     val decisions: DecisionLog,
-    private val ownAddress: InetAddress?,
+    private val running: RunningRequests,
 ) {
-    /** Whether [call] was made by the backend server beside this node, so that a running call waits for it. */
-    fun isChild(call: InboundCall): Boolean = ownAddress != null && call.callerAddress?.address == ownAddress
+    /** Whether the backend server beside this node made [call] for a request that it runs, which waits for it. */
+    fun isChild(call: InboundCall): Boolean {
+        val parent = dialect.requestId(call.headers)?.let(dialect::parentOf)
+        return parent != null && parent in running
+    }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -213,6 +213,7 @@
         startNanos = nowNanos
         environment.metrics.queued(Priority.entries[admitted.priority.ordinal], nowNanos - arrivedNanos)
         environment.target.callStarted()
+        requestId?.let(environment.running::started)
         if (treeId != null) environment.allowances.start(treeId, RetryAllowance.received(call.headers.get(CallHeaders.RETRIES_LEFT)))
         send(address, nowNanos)
     }
@@ -275,6 +276,7 @@
         if (stage != Stage.RUNNING) return 0
         stage = Stage.DONE
         timer?.cancel(false)
+        requestId?.let(environment.running::ended)
         environment.target.callEnded(System.nanoTime() - startNanos)
         environment.admission.onFinish(admitted, System.nanoTime(), succeeded = verdict == Verdict.RAN)
         keyed?.finish(verdict, response)
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
@@ -10,6 +10,7 @@
 import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.quarantine.CrashWatch
 import dev.lycheehill.node.target.LocalTarget
+import dev.lycheehill.node.target.RunningRequests
 import dev.lycheehill.node.tracing.SpanRecorder
 
 /** What all ingress calls of a node share. */
@@ -27,4 +28,5 @@
     val ticks: AdmissionTicks,
     val nodeId: String,
     val decisions: DecisionLog,
+    val running: RunningRequests,
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
@@ -23,7 +23,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
-import java.net.InetAddress
 import java.util.concurrent.TimeUnit
 
 /**
@@ -68,7 +67,6 @@
                 NodeEdges(
                     group = group,
                     listeners = listeners(this),
-                    backendAddress = InetAddress.getByName(settings.backend.host),
                 ),
         )
 
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/FollowerSettings.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/FollowerSettings.kt
@@ -11,7 +11,7 @@
  */
 data class FollowerSettings(
     val waitMs: Long = 15_000,
-    val pauseMs: Long = 500,
+    val pauseMs: Long = 900,
     val firstBackoffMs: Long = 100,
     val maxBackoffMs: Long = 1_000,
 )
