--- a/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
@@ -1,5 +1,7 @@
 package dev.lycheehill.node.peer
 
+import dev.lycheehill.calls.quarantine.CrashEvidence
+import dev.lycheehill.calls.quarantine.SuccessEvidence
 import dev.lycheehill.fleet.store.Beacon
 import dev.lycheehill.fleet.store.PeerChannel
 import dev.lycheehill.fleet.store.SyncReply
@@ -12,6 +14,7 @@
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.loop.Transport
 import dev.lycheehill.node.metrics.NodeMetrics
+import dev.lycheehill.node.quarantine.EvidenceChannel
 import dev.lycheehill.node.settings.HostPort
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.bootstrap.Bootstrap
@@ -31,6 +34,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 
 /**
  * Messages between nodes on one port: beacons as datagrams, requests over HTTP, both in CBOR. Used on [eventLoop] only.
@@ -41,8 +45,19 @@
     private val group: EventLoopGroup,
     private val eventLoop: EventLoop,
     metrics: NodeMetrics,
-) : PeerChannel {
+) : PeerChannel,
+    EvidenceChannel {
     override var onBeacon: (Beacon) -> Unit = {}
+
+    /** Receives the evidence of other nodes. */
+    var onCrash: (CrashEvidence) -> Unit = {}
+
+    /** Receives the evidence of other nodes. */
+    var onSuccess: (SuccessEvidence) -> Unit = {}
+
+    /** Gives the addresses of all other nodes. */
+    var addresses: () -> List<String> = { emptyList() }
+
     override var onRequest: (SyncRequest) -> SyncReply = { SyncReply(0, null, emptyList()) }
 
     private val cbor = Cbor { ignoreUnknownKeys = true }
@@ -73,7 +88,25 @@
         address: String,
         beacon: Beacon,
     ) {
-        val bytes = Unpooled.wrappedBuffer(cbor.encodeToByteArray(Beacon.serializer(), beacon))
+        send(address, PeerDatagram(beacon = beacon))
+    }
+
+    override fun send(evidence: CrashEvidence) = broadcast(PeerDatagram(crash = evidence))
+
+    override fun send(evidence: SuccessEvidence) = broadcast(PeerDatagram(success = evidence))
+
+    // Datagrams may be lost, and evidence that arrives twice counts once.
+    private fun broadcast(message: PeerDatagram) {
+        for (repetition in 0 until EVIDENCE_COPIES) {
+            eventLoop.schedule({ addresses().forEach { send(it, message) } }, repetition * COPY_PAUSE_MS, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private fun send(
+        address: String,
+        message: PeerDatagram,
+    ) {
+        val bytes = Unpooled.wrappedBuffer(cbor.encodeToByteArray(PeerDatagram.serializer(), message))
         datagrams.writeAndFlush(DatagramPacket(bytes, socketAddress(address)), datagrams.voidPromise())
     }
 
@@ -127,7 +160,10 @@
             ctx: ChannelHandlerContext,
             packet: DatagramPacket,
         ) {
-            decode(Beacon.serializer(), ByteBufUtil.getBytes(packet.content()), "${packet.sender()}")?.let { onBeacon(it) }
+            val message = decode(PeerDatagram.serializer(), ByteBufUtil.getBytes(packet.content()), "${packet.sender()}") ?: return
+            message.beacon?.let { onBeacon(it) }
+            message.crash?.let { onCrash(it) }
+            message.success?.let { onSuccess(it) }
         }
 
         // A datagram to a node that has ended is answered by an ICMP message, which says nothing about this socket.
@@ -149,5 +185,9 @@
         const val CONNECT_TIMEOUT_MS = 300
         const val ANSWER_TIMEOUT_MS = 700L
         const val KEEP_ALIVE_IDLE_S = 2
+
+        // All copies arrive within a part of the 3 s in which a request that crashes targets must be known.
+        const val EVIDENCE_COPIES = 3
+        const val COPY_PAUSE_MS = 200L
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
@@ -65,6 +65,7 @@
             policies = policies,
             transport = Transport.NIO,
             metrics = metrics,
+            evidence = peers,
             dialect = dialect,
             edges =
                 NodeEdges(
@@ -97,6 +98,12 @@
     /** Starts to serve and to follow the store. */
     fun start() {
         metrics.bindGauge(NodeMeter.LOG_UP) { if (fleet.isStoreLost) 0 else 1 }
+        peers.addresses = { (fleet.members() - settings.nodeId).values.map { it.controlAddress } }
+        peers.onCrash = { evidence ->
+            node.quarantine.onCrash(evidence, timers.wallMillis())
+            decisions.write("crash-reported", "fingerprint" to evidence.fingerprint, "member" to evidence.nodeId)
+        }
+        peers.onSuccess = { node.quarantine.onSuccess(it, timers.wallMillis()) }
         peers.start()
         node.start()
         eventLoop.submit(fleet::start).sync()
@@ -118,6 +125,13 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
+    /** Ends at once, as when the process is killed. */
+    fun kill() {
+        eventLoop.submit(fleet::stop).sync()
+        peers.stop()
+        node.kill()
+    }
+
     private fun identity() =
         MemberRecord(
             nodeId = settings.nodeId,
--- a/standins/src/main/kotlin/dev/lycheehill/standins/backend/BackendStandIn.kt
+++ b/standins/src/main/kotlin/dev/lycheehill/standins/backend/BackendStandIn.kt
@@ -72,10 +72,10 @@
         return this
     }
 
-    /** Closes the listener and all connections at once, as when the process ends. */
+    /** Closes the listener and then all connections, so that nobody who saw a connection end is still accepted. */
     fun crash() {
-        channel?.close()
-        eventLoop.execute(work::closeConnections)
+        val closed = channel?.close()
+        if (closed == null) eventLoop.execute(work::closeConnections) else closed.addListener { eventLoop.execute(work::closeConnections) }
     }
 
     override fun close() {
