Move a refused call twice at most, bound the wait of late calls, tell the age of a call that comes back

Ruled out: logging as the cause of the processor time (bounded at 60 lines a second). Change: two moves and four detours; late calls wait 100 ms at most; the age of a call from the time that its caller states.

--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmission.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmission.kt
@@ -98,7 +98,8 @@
         if (call.late) {
             val lateWaitNanos = waitNanos(queue.ahead(call, late = true) { durations.of(it.route) })
             val leftNanos = call.deadline.remainingNanos(nowNanos)
-            if (lateWaitNanos + expectedNanos > leftNanos * settings.lateShare) return reject(call, RejectReason.QUEUE_TIME, lateWaitNanos)
+            val tooLong = lateWaitNanos > settings.lateWaitMs * NANOS_PER_MILLI || lateWaitNanos + expectedNanos > leftNanos * settings.lateShare
+            if (tooLong) return reject(call, RejectReason.QUEUE_TIME, lateWaitNanos)
         }
         call.state = AdmissionState.QUEUED
         call.queuedAtNanos = nowNanos
@@ -153,6 +154,7 @@
         val expectedNanos = durations.of(call.route)
         return when {
             call.deadline.remainingNanos(nowNanos) < expectedNanos * settings.leastShare -> RejectReason.DEADLINE
+            call.late && nowNanos - call.queuedAtNanos > settings.lateWaitMs * NANOS_PER_MILLI -> RejectReason.QUEUE_TIME
             !call.acceptsLate && call.aim.remainingNanos(nowNanos) < expectedNanos -> RejectReason.QUEUE_TIME
             else -> null
         }
--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmissionSettings.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmissionSettings.kt
@@ -8,6 +8,7 @@
  * @property smoothing weight of the newest duration in an estimate; 0.1 follows a change within about 20 calls.
  * @property marginShare share of the usual duration that is left between the expected end and the aim, as durations vary.
  * @property lateShare share of the time left that the wait and the run of a late call may take, as the estimate is a mean.
+ * @property lateWaitMs longest wait of a late call, which other calls overtake; then it is refused and may come back.
  * @property leastShare share of the usual duration that must be left for a queued call to be started.
  * @property minRetryAfterMs shortest hint to a refused caller, about one round trip.
  * @property maxRetryAfterMs longest hint, about the period in which the demand of the sites falls from its crest.
@@ -18,6 +19,7 @@
     val smoothing: Double = 0.1,
     val marginShare: Double = 0.4,
     val lateShare: Double = 0.7,
+    val lateWaitMs: Long = 100,
     val leastShare: Double = 0.5,
     val minRetryAfterMs: Long = 50,
     val maxRetryAfterMs: Long = 2_000,
--- a/calls/src/main/kotlin/dev/lycheehill/calls/verdict/BudgetedRetryPolicy.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/verdict/BudgetedRetryPolicy.kt
@@ -5,12 +5,14 @@
 /**
  * Retries elsewhere within the attempts, the deadline, the call tree's allowance and the budget of the service.
  *
- * A call that reached no backend server may be moved up to [maxMoves] times without any of these but the deadline.
+ * A call that reached no backend server may be moved without any of these but the deadline: up to [maxMoves] times after
+ * a refusal for load, and up to [maxDetours] times after a target that was not available.
  */
 class BudgetedRetryPolicy(
     private val budget: RetryBudget = RetryBudget(),
     private val defaultRetryAfterMs: Long = 1_000,
     private val maxMoves: Int = 0,
+    private val maxDetours: Int = 0,
 ) : RetryPolicy {
     override fun onCall(nowNanos: Long) = budget.onCall(nowNanos)
 
@@ -26,7 +28,10 @@
     private fun mayMove(
         attempt: FailedAttempt,
         nowNanos: Long,
-    ): Boolean = !attempt.arrived && attempt.repeatable && attempt.moves < maxMoves && !attempt.deadline.isExpired(nowNanos)
+    ): Boolean = !attempt.arrived && attempt.repeatable && !attempt.deadline.isExpired(nowNanos) && hasMoveLeft(attempt)
+
+    private fun hasMoveLeft(attempt: FailedAttempt): Boolean =
+        if (attempt.available) attempt.moves < maxMoves else attempt.detours < maxDetours
 
     // The budget is asked before the allowance, and a unit taken from the budget is not returned when the allowance
     // is used up concurrently: that can only make retries fewer.
--- a/calls/src/test/kotlin/dev/lycheehill/calls/verdict/RetryPolicyTest.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/verdict/RetryPolicyTest.kt
@@ -56,17 +56,38 @@
 
     /** Guards against a budget that is used up by calls which no backend server has seen, and against endless moves. */
     @ParameterizedTest
-    @CsvSource("NOT_RUN, false, 0, true", "NOT_RUN, false, 1, true", "NOT_RUN, false, 2, false", "NOT_RUN, true, 0, false")
+    @CsvSource(
+        "NOT_RUN, false, true, 0, 0, true",
+        "NOT_RUN, false, true, 1, 4, true",
+        "NOT_RUN, false, true, 2, 0, false",
+        "NOT_RUN, false, false, 2, 3, true",
+        "NOT_RUN, false, false, 0, 4, false",
+        "NOT_RUN, true, true, 0, 0, false",
+    )
     fun `a call that reached no backend server is moved without using the budget`(
         verdict: Verdict,
         arrived: Boolean,
+        available: Boolean,
         moves: Int,
+        detours: Int,
         isMove: Boolean,
     ) {
         val budget = RetryBudget()
         val deadline = Deadline.after(1_000, 0)
-        val attempt = FailedAttempt(verdict, false, 1, 3, deadline, RetryAllowance(0), arrived = arrived, moves = moves)
-        val decision = BudgetedRetryPolicy(budget, maxMoves = 2).decide(attempt, 0)
+        val attempt =
+            FailedAttempt(
+                verdict = verdict,
+                idempotent = false,
+                number = 1,
+                maxAttempts = 3,
+                deadline = deadline,
+                allowance = RetryAllowance(0),
+                arrived = arrived,
+                available = available,
+                moves = moves,
+                detours = detours,
+            )
+        val decision = BudgetedRetryPolicy(budget, maxMoves = 2, maxDetours = 4).decide(attempt, 0)
         expectThat(decision is RetryDecision.Elsewhere && decision.isMove) isEqualTo isMove
         repeat(3) { expectThat(budget.tryRetry(0)) isEqualTo true }
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.node
 
+import dev.lycheehill.calls.admission.CallAges
 import dev.lycheehill.calls.quarantine.CrashQuarantine
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.core.time.Subscription
@@ -149,7 +150,7 @@
     }
 
     private fun egressHandler() =
-        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans, keys, dialect, decisions, running))
+        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans, keys, dialect, decisions, CallAges(), running))
 
     private fun apiEndpoints(): List<ApiEndpoint> =
         TargetEndpoints(target, settings.targetLeaseMs).all() + OperatorEndpoints(fleet, target, ::drain).all() +
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -52,12 +52,14 @@
     private val deadline =
         Deadline.received(environment.dialect.deadlineMs(call.headers), decision.timeoutMs.toLong(), startNanos)
     private val isChild = environment.isChild(call)
+    private val ageMs = if (isChild) 0 else ageOf(environment.dialect.deadlineMs(call.headers))
     private val template = RequestTemplate(call, decision, home?.domain, environment.settings.callerService, isChild)
     private val tried = ArrayList<String>(2)
     private val running = ArrayList<EgressAttempt>(2)
     private var attempts = 0
     private var arrivals = 0
     private var moves = 0
+    private var detours = 0
     private var isLastResort = false
     private var homeRetries = 0
     private var mayHaveRun = false
@@ -128,7 +130,7 @@
         if (failure.kind == ExchangeFailure.Kind.SILENT) environment.metrics.silentConnection()
         if (failure.verdict == Verdict.NOT_RUN) attempt.giveBackRetries() else mayHaveRun = true
         val status = if (failure.kind == ExchangeFailure.Kind.SILENT) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.BAD_GATEWAY
-        next(GivenUp(failure.verdict, status, failure.kind.reason, arrived = failure.verdict != Verdict.NOT_RUN))
+        next(GivenUp(failure.verdict, status, failure.kind.reason, arrived = failure.verdict != Verdict.NOT_RUN, available = false))
     }
 
     private fun answer(
@@ -172,6 +174,7 @@
                 repeatable = response.status.code() != UNPROCESSABLE,
                 retryAfterMs = leastRetryAfterMs,
                 arrived = response.headers.contains(CallHeaders.ARRIVED),
+                available = !unavailable,
             ),
         )
     }
@@ -214,14 +217,17 @@
         send(EgressAttempt(this, target, allowance.lend(), attempts, attemptSpan), now)
     }
 
-    // When every target has refused to answer within the aim, one is asked for a later answer.
+    private fun mayAskForLate() = !isLastResort && home == null && decision.route.aimMs != null
+
+    // When the targets refuse to answer within the aim, one is asked for a later answer.
+    private fun askForLate() {
+        isLastResort = true
+        tried.clear()
+        attempt()
+    }
+
     private fun noTarget() {
-        if (moves > 0 && !isLastResort && decision.route.aimMs != null) {
-            isLastResort = true
-            tried.clear()
-            attempt()
-            return
-        }
+        if (moves > 0 && mayAskForLate()) return askForLate()
         val reason = if (home == null) "no-target" else "key-home-gone"
         giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.SERVICE_UNAVAILABLE, reason), leastRetryAfterMs ?: NO_TARGET_RETRY_MS)
     }
@@ -262,7 +268,7 @@
     }
 
     private fun aimMs(nowNanos: Long): Long? =
-        decision.route.aimMs?.let { (it - (nowNanos - startNanos) / NANOS_PER_MILLI).coerceAtLeast(0) }
+        decision.route.aimMs?.let { (it - ageMs - (nowNanos - startNanos) / NANOS_PER_MILLI).coerceAtLeast(0) }
 
     private fun next(outcome: GivenUp) {
         if (outcome.arrived) arrivals++
@@ -271,7 +277,7 @@
             FailedAttempt(
                 verdict = outcome.verdict,
                 idempotent = idempotent,
-                number = attempts - moves,
+                number = attempts - moves - detours,
                 maxAttempts = decision.route.maxAttempts,
                 deadline = deadline,
                 allowance = allowance,
@@ -279,20 +285,30 @@
                 retryAfterMs = outcome.retryAfterMs,
                 serverError = outcome.serverError,
                 arrived = outcome.arrived,
+                available = outcome.available,
                 moves = moves,
+                detours = detours,
             )
         when (val choice = service.retries.decide(failed, System.nanoTime())) {
             is RetryDecision.Final -> {
+                if (!outcome.arrived && outcome.available && mayAskForLate()) return askForLate()
                 if (choice.reason == GiveUpReason.BUDGET) meters.retryDenied()
                 giveUp(outcome, choice.retryAfterMs)
             }
             is RetryDecision.Elsewhere -> {
-                if (choice.isMove) moves++ else meters.retried()
+                when {
+                    !choice.isMove -> meters.retried()
+                    outcome.available -> moves++
+                    else -> detours++
+                }
                 retryAfter(choice.delayMs)
             }
         }
     }
 
+    // Calls of a running request state what is left of its time, which says nothing of their own age.
+    private fun ageOf(statedMs: String?): Long = statedMs?.trim()?.toLongOrNull()?.let { environment.ages.ageMs(routeName, it) } ?: 0
+
     private fun isRepeatable(response: CollectedResponse): Boolean =
         environment.settings.retriesServerErrors && idempotent && response.status.code() in REPEATABLE_ERRORS
 
@@ -393,6 +409,7 @@
             "targets" to tried.joinToString(" "),
             "arrivals" to arrivals,
             "moves" to moves,
+            "detours" to detours,
             "child" to isChild,
             "elapsed_ms" to (System.nanoTime() - startNanos) / NANOS_PER_MILLI,
             "deadline_ms" to (deadline.atNanos - startNanos) / NANOS_PER_MILLI,
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/GivenUp.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/GivenUp.kt
@@ -7,6 +7,7 @@
  * Response of a call whose latest attempt brought no usable answer, if it is not tried again.
  *
  * @property arrived whether the request reached the backend server.
+ * @property available whether the target takes calls at all.
  * @property serverError whether the backend server ran the request and answered with a server error.
  */
 internal class GivenUp(
@@ -16,5 +17,6 @@
     val repeatable: Boolean = true,
     val retryAfterMs: Long? = null,
     val arrived: Boolean = true,
+    val available: Boolean = true,
     val serverError: Boolean = false,
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/policy/SlotPolicies.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/policy/SlotPolicies.kt
@@ -17,10 +17,12 @@
  * Policies for deployments in which the target's node is the only way to its backend server, whose slots are known, and
  * calls state the time within which an answer has its full value.
  *
- * @param maxMoves how often a call is moved between nodes before it reaches a backend server.
+ * @param maxMoves how often a call is moved after a target refused it for its load.
+ * @param maxDetours how often a call is moved after a target that was not available.
  */
 class SlotPolicies(
     private val maxMoves: Int = DEFAULT_MOVES,
+    private val maxDetours: Int = DEFAULT_DETOURS,
 ) : CallPolicies {
     override fun newPicker(
         service: Service,
@@ -31,7 +33,7 @@
     override fun newRetryPolicy(
         service: Service,
         budget: RetryBudget,
-    ): RetryPolicy = BudgetedRetryPolicy(budget, maxMoves = maxMoves)
+    ): RetryPolicy = BudgetedRetryPolicy(budget, maxMoves = maxMoves, maxDetours = maxDetours)
 
     override fun newHedgePolicy(
         service: Service,
@@ -45,7 +47,10 @@
     ): AdmissionControl = SlotAdmission(SlotAdmissionSettings(slots = slots))
 
     private companion object {
-        // Four other targets see most of the spare room; each move costs about one round trip.
-        const val DEFAULT_MOVES = 5
+        // When the two targets that seemed least loaded refuse, the others seldom have room, and each move costs processor time.
+        const val DEFAULT_MOVES = 2
+
+        // A target that is not available says so at once.
+        const val DEFAULT_DETOURS = 4
     }
 }
