--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmission.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmission.kt
@@ -98,7 +98,8 @@
         if (call.late) {
             val lateWaitNanos = waitNanos(queue.ahead(call, late = true) { durations.of(it.route) })
             val leftNanos = call.deadline.remainingNanos(nowNanos)
-            val tooLong = lateWaitNanos > settings.lateWaitMs * NANOS_PER_MILLI || lateWaitNanos + expectedNanos > leftNanos * settings.lateShare
+            val tooLong =
+                lateWaitNanos > settings.lateWaitMs * NANOS_PER_MILLI || lateWaitNanos + expectedNanos > leftNanos * settings.lateShare
             if (tooLong) return reject(call, RejectReason.QUEUE_TIME, lateWaitNanos)
         }
         call.state = AdmissionState.QUEUED
--- a/calls/src/test/kotlin/dev/lycheehill/calls/admission/SlotLoad.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/admission/SlotLoad.kt
@@ -28,7 +28,11 @@
             val at = arrivalNanos
             events.add(Event(at) { arrive(at) })
         }
-        for (tickMs in 0 until durationMs step 10) events.add(Event(tickMs * NANOS_PER_MILLI) { admission.onTick(tickMs * NANOS_PER_MILLI) })
+        for (tickMs in 0 until durationMs step 10) {
+            events.add(
+                Event(tickMs * NANOS_PER_MILLI) { admission.onTick(tickMs * NANOS_PER_MILLI) },
+            )
+        }
         while (true) (events.poll() ?: break).run()
         return outcome
     }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -4,7 +4,6 @@
 import dev.lycheehill.config.model.ConfigContent
 import dev.lycheehill.core.time.Subscription
 import dev.lycheehill.core.time.TimerService
-import dev.lycheehill.core.time.nowMs
 import dev.lycheehill.fleet.FleetView
 import dev.lycheehill.fleet.InForceReport
 import dev.lycheehill.fleet.membership.MemberRecord
@@ -45,7 +44,8 @@
         TopicFollower(store, KeyedTopic.CONFIGURATION, timers, settings.follower, random, ::configurationRead) {
             linkChanged(KeyedTopic.CONFIGURATION, it)
         }
-    private val directory = DirectoryReader(store, timers, settings, random, ::recordRead, ::tellAll) { linkChanged(KeyedTopic.MEMBERS, it) }
+    private val directory =
+        DirectoryReader(store, timers, settings, random, ::recordRead, ::tellAll) { linkChanged(KeyedTopic.MEMBERS, it) }
     private var subscription: Subscription? = null
     private var syncing = false
 
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -80,7 +80,13 @@
         sim.advance(3_000)
         restarted.fleet.announce(MemberState.READY, "orders", 7)
         sim.advance(100)
-        expectThat(nodes[1].fleet.members().getValue("n0").slots) isEqualTo 7
+        expectThat(
+            nodes[1]
+                .fleet
+                .members()
+                .getValue("n0")
+                .slots,
+        ) isEqualTo 7
     }
 
     /** Guards against a version that goes back, also when an older record is delivered again. */
@@ -101,10 +107,22 @@
         sim.advance(2_000)
         sim.cut("n2")
         sim.advance(6_000)
-        expectThat(nodes[0].fleet.members().getValue("n2").state) isEqualTo MemberState.SUSPECT
+        expectThat(
+            nodes[0]
+                .fleet
+                .members()
+                .getValue("n2")
+                .state,
+        ) isEqualTo MemberState.SUSPECT
         sim.heal("n2")
         sim.advance(2_000)
-        expectThat(nodes[0].fleet.members().getValue("n2").state) isEqualTo MemberState.COLD
+        expectThat(
+            nodes[0]
+                .fleet
+                .members()
+                .getValue("n2")
+                .state,
+        ) isEqualTo MemberState.COLD
     }
 
     /** Guards against a node that has left and is still called. */
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -83,7 +83,17 @@
     private val egress = DataPathServer(settings, transport, group, egressHandler(), metrics)
     private val ingress = DataPathServer(settings, transport, group, ingressHandler(), metrics)
     private val apiGroup: EventLoopGroup = edges.group ?: Transport.NIO.newGroup(1, "lycheehill-api")
-    private val listeners = edges.listeners.map { it.listen to DataPathServer(settings, transport, group, ApiHandler(it.endpoints), metrics) }
+    private val listeners =
+        edges.listeners.map {
+            it.listen to
+                DataPathServer(
+                    settings,
+                    transport,
+                    group,
+                    ApiHandler(it.endpoints),
+                    metrics,
+                )
+        }
     private val api = DataPathServer(settings, Transport.NIO, apiGroup, ApiHandler(apiEndpoints() + furtherEndpoints), metrics)
     private var subscriptions = emptyList<Subscription>()
 
@@ -150,7 +160,24 @@
     }
 
     private fun egressHandler() =
-        EgressHandler(EgressEnvironment(settings, fleet, EndpointIndex(fleet), router, services, allowances, loops, metrics, spans, keys, dialect, decisions, CallAges(), running))
+        EgressHandler(
+            EgressEnvironment(
+                settings,
+                fleet,
+                EndpointIndex(fleet),
+                router,
+                services,
+                allowances,
+                loops,
+                metrics,
+                spans,
+                keys,
+                dialect,
+                decisions,
+                CallAges(),
+                running,
+            ),
+        )
 
     private fun apiEndpoints(): List<ApiEndpoint> =
         TargetEndpoints(target, settings.targetLeaseMs).all() + OperatorEndpoints(fleet, target, ::drain).all() +
@@ -158,7 +185,24 @@
             ObservationEndpoints(metrics, spans).all() + QuarantineEndpoints(quarantine, timers).all()
 
     private fun ingressHandler() =
-        IngressHandler(IngressEnvironment(settings, target, admission, allowances, loops, crashes, metrics, spans, keys, dialect, ticks, fleet.self.nodeId, decisions, running))
+        IngressHandler(
+            IngressEnvironment(
+                settings,
+                target,
+                admission,
+                allowances,
+                loops,
+                crashes,
+                metrics,
+                spans,
+                keys,
+                dialect,
+                ticks,
+                fleet.self.nodeId,
+                decisions,
+                running,
+            ),
+        )
 
     private companion object {
         val log = KotlinLogging.logger {}
--- a/node/src/main/kotlin/dev/lycheehill/node/client/HttpCaller.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/client/HttpCaller.kt
@@ -27,7 +27,11 @@
     keepAliveIdleS: Int,
 ) {
     private val upstreams =
-        Upstreams(eventLoop, Transport.NIO.channelType, DataPathSettings(connectTimeoutMs = connectTimeoutMs, keepAliveIdleS = keepAliveIdleS))
+        Upstreams(
+            eventLoop,
+            Transport.NIO.channelType,
+            DataPathSettings(connectTimeoutMs = connectTimeoutMs, keepAliveIdleS = keepAliveIdleS),
+        )
 
     /**
      * Sends a request to [address], written as `ip:port`.
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -358,7 +358,15 @@
         }
         val verdict = if (mayHaveRun) Verdict.MAY_HAVE_RUN else outcome.verdict
         ended(verdict, outcome.status, outcome.reason)
-        NodeResponses.giveUp(call, statusFor(outcome, verdict), verdict, outcome.reason, decision.version, retryAfterMs, environment.dialect)
+        NodeResponses.giveUp(
+            call,
+            statusFor(outcome, verdict),
+            verdict,
+            outcome.reason,
+            decision.version,
+            retryAfterMs,
+            environment.dialect,
+        )
     }
 
     // "Unavailable" would state that the call did not run.
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressHandler.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressHandler.kt
@@ -31,7 +31,15 @@
         val service = environment.fleet.members()[home]?.let { snapshot.content.services[it.service] }
         if (home == null || service == null) {
             val reason = if (home == null) KeyRefusal.NO_EPOCH.headerValue else "key-home-gone"
-            NodeResponses.giveUp(call, HttpResponseStatus.SERVICE_UNAVAILABLE, Verdict.NOT_RUN, reason, snapshot.version, HOME_RETRY_MS, environment.dialect)
+            NodeResponses.giveUp(
+                call,
+                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                Verdict.NOT_RUN,
+                reason,
+                snapshot.version,
+                HOME_RETRY_MS,
+                environment.dialect,
+            )
             return
         }
         // The home decides the service too, so that a change of weights does not move a key to another service.
@@ -58,7 +66,6 @@
         // About the time in which a node that starts reads the configuration.
         const val NO_CONFIGURATION_RETRY_MS = 500L
 
-
         // About the time in which a new epoch is proposed and distributed.
         const val HOME_RETRY_MS = 500L
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -12,8 +12,8 @@
 import dev.lycheehill.config.model.Priority
 import dev.lycheehill.core.Verdict
 import dev.lycheehill.core.time.NANOS_PER_MILLI
-import dev.lycheehill.node.egress.TraceIds
 import dev.lycheehill.node.dialect.BackendAnswer
+import dev.lycheehill.node.egress.TraceIds
 import dev.lycheehill.node.http.CallHeaders
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.http.InboundCallListener
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressHeaders.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressHeaders.kt
@@ -1,7 +1,7 @@
 package dev.lycheehill.node.ingress
 
-import dev.lycheehill.calls.keys.KeyRefusal
 import dev.lycheehill.calls.balancing.LoadReport
+import dev.lycheehill.calls.keys.KeyRefusal
 import dev.lycheehill.core.Verdict
 import dev.lycheehill.node.dialect.BackendFacts
 import dev.lycheehill.node.egress.LoadHeader
@@ -28,7 +28,11 @@
             headers,
             BackendFacts(
                 remainingMs = remainingMs,
-                instanceId = environment.target.registration()?.instanceId.orEmpty(),
+                instanceId =
+                    environment.target
+                        .registration()
+                        ?.instanceId
+                        .orEmpty(),
                 callerService = call.headers.get(CallHeaders.CALLER_SERVICE).orEmpty(),
             ),
         )
--- a/node/src/main/kotlin/dev/lycheehill/node/target/BackendProbe.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/BackendProbe.kt
@@ -32,7 +32,9 @@
         if (asked) return
         asked = true
         caller.call(address, HttpMethod.GET, path, timeoutMs = ANSWER_TIMEOUT_MS) { result ->
-            result.onRight { answer -> dialect.healthOf(answer.status, answer.headers)?.let { register.takeFirst(heartbeat(it.instanceId, it.slots)) } }
+            result.onRight { answer ->
+                dialect.healthOf(answer.status, answer.headers)?.let { register.takeFirst(heartbeat(it.instanceId, it.slots)) }
+            }
         }
     }
 
