--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmissionSettings.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmissionSettings.kt
@@ -19,7 +19,7 @@
     val smoothing: Double = 0.1,
     val marginShare: Double = 0.4,
     val lateShare: Double = 0.7,
-    val lateWaitMs: Long = 100,
+    val lateWaitMs: Long = 25,
     val leastShare: Double = 0.5,
     val minRetryAfterMs: Long = 50,
     val maxRetryAfterMs: Long = 2_000,
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreNodeSettings.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreNodeSettings.kt
@@ -11,6 +11,8 @@
  *   second whether the node is ready and takes it out after two answers.
  * @property stopMs longest duration of a stop; the process is killed soon after.
  * @property deadlineGraceMs time for which the answer of a backend server that stops at the deadline is awaited.
+ * @property connectTimeoutMs longest wait for a connection to another node, many round trips between zones and a part of
+ *   the shortest time that callers wait, 400 ms.
  * @property leaseMs time after its last announcement for which the backend server is taken to live. An announcement may
  *   be seconds late; a backend server that accepts no connection is noticed by the calls.
  */
@@ -28,5 +30,5 @@
     val stopMs: Long = 5_300,
     val deadlineGraceMs: Long = 60,
     val leaseMs: Long = 20_000,
-    val connectTimeoutMs: Int = 300,
+    val connectTimeoutMs: Int = 120,
 )
