Let priority decide before child calls, and reduce routes whose child calls are refused

Ruled out: the choice of targets (both classes see the same targets). Change: a queue by priority, child calls first within one; ChildPressure reduces a route at its own door while its calls are refused.

--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmission.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmission.kt
@@ -9,8 +9,8 @@
  * to end in time, so the queue never holds work that is worth nothing when it is done. What cannot end in time is refused
  * on arrival, as long as another target can still take it.
  *
- * Calls for which a running call waits go first, because their parent holds a slot elsewhere. Then priority decides,
- * then the order of arrival. Calls that can only be answered late run when nothing else waits.
+ * Priority decides, then whether a running call waits for the call, as its parent holds a slot elsewhere, then the order
+ * of arrival. Calls that can only be answered late run when nothing else waits.
  *
  * All state is guarded by the lock of this object; listeners are called outside of it.
  */
--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/UrgencyQueue.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/UrgencyQueue.kt
@@ -1,6 +1,6 @@
 package dev.lycheehill.calls.admission
 
-/** Waiting calls in order of urgency: child calls, then by priority, then late ones; each in order of arrival. Not thread-safe. */
+/** Waiting calls in order of urgency: by priority, child calls first; then the late ones. Not thread-safe. */
 internal class UrgencyQueue {
     private val levels = Array(LEVELS) { ArrayDeque<AdmissionCall>() }
 
@@ -48,11 +48,11 @@
         call: AdmissionCall,
         late: Boolean,
     ): Int {
-        val level = if (call.isChild) 0 else 1 + call.priority.ordinal
+        val level = 2 * call.priority.ordinal + if (call.isChild) 0 else 1
         return if (late) level + LEVELS / 2 else level
     }
 
     private companion object {
-        val LEVELS = 2 * (1 + CallPriority.entries.size)
+        val LEVELS = 2 * 2 * CallPriority.entries.size
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -1,6 +1,7 @@
 package dev.lycheehill.node
 
 import dev.lycheehill.calls.admission.CallAges
+import dev.lycheehill.calls.admission.ChildPressure
 import dev.lycheehill.calls.quarantine.CrashQuarantine
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.core.time.Subscription
@@ -74,6 +75,7 @@
     private val group: EventLoopGroup = edges.group ?: transport.newGroup(settings.eventLoops, "lycheehill-data")
     private val decisions = DecisionLog()
     private val running = RunningRequests()
+    private val pressure = ChildPressure()
     private val ticks = AdmissionTicks(admission, timers, ADMISSION_TICK_MS)
     private val loops = LoopContexts(group, transport, settings)
     private val crashes = CrashWatch(quarantine, evidence, fleet, timers)
@@ -175,6 +177,7 @@
                 dialect,
                 decisions,
                 CallAges(),
+                pressure,
                 running,
             ),
         )
@@ -201,6 +204,7 @@
                 fleet.self.nodeId,
                 decisions,
                 running,
+                pressure,
             ),
         )
 
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -51,7 +51,8 @@
     private val idempotent = decision.isIdempotent(call.method.name())
     private val deadline =
         Deadline.received(environment.dialect.deadlineMs(call.headers), decision.timeoutMs.toLong(), startNanos)
-    private val isChild = environment.isChild(call)
+    private val parentRoute = environment.parentRouteOf(call)
+    private val isChild = parentRoute != null
     private val ageMs = if (isChild) 0 else ageOf(environment.dialect.deadlineMs(call.headers))
     private val template = RequestTemplate(call, decision, home?.domain, environment.settings.callerService, isChild)
     private val tried = ArrayList<String>(2)
@@ -83,7 +84,7 @@
     override fun onCallerGone() {
         val verdict = if (mayHaveRun || running.any { it.isSent }) Verdict.MAY_HAVE_RUN else Verdict.NOT_RUN
         cancelAllBut(null)
-        ended(verdict, null, "caller-gone")
+        ended(verdict, null, CALLER_GONE)
     }
 
     override fun onWritable() {
@@ -389,7 +390,9 @@
         hedgeTimer?.cancel(false)
         kept?.body?.release()
         kept = null
-        meters.callFinished(verdict, System.nanoTime() - startNanos)
+        val now = System.nanoTime()
+        meters.callFinished(verdict, now - startNanos)
+        parentRoute?.let { environment.pressure.onChildEnd(it, refused = verdict == Verdict.NOT_RUN && reason != CALLER_GONE, now) }
         val result =
             HopResult(
                 route = routeName,
@@ -419,6 +422,7 @@
             "moves" to moves,
             "detours" to detours,
             "child" to isChild,
+            "priority" to decision.route.priority,
             "elapsed_ms" to (System.nanoTime() - startNanos) / NANOS_PER_MILLI,
             "deadline_ms" to (deadline.atNanos - startNanos) / NANOS_PER_MILLI,
         )
@@ -443,6 +447,7 @@
 
     private companion object {
         const val UNPROCESSABLE = 422
+        const val CALLER_GONE = "caller-gone"
         const val NO_TARGET_RETRY_MS = 1_000L
         const val MAX_HOME_RETRY_MS = 100L
         const val HOME_RETRIES = 4
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
@@ -1,6 +1,7 @@
 package dev.lycheehill.node.egress
 
 import dev.lycheehill.calls.admission.CallAges
+import dev.lycheehill.calls.admission.ChildPressure
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.fleet.FleetView
 import dev.lycheehill.node.DataPathSettings
@@ -30,11 +31,9 @@
     val dialect: CallDialect,
     val decisions: DecisionLog,
     val ages: CallAges,
+    val pressure: ChildPressure,
     private val running: RunningRequests,
 ) {
-    /** Whether the backend server beside this node made [call] for a request that it runs, which waits for it. */
-    fun isChild(call: InboundCall): Boolean {
-        val parent = dialect.requestId(call.headers)?.let(dialect::parentOf)
-        return parent != null && parent in running
-    }
+    /** Route of the running request for which the backend server beside this node made [call]; null when there is none. */
+    fun parentRouteOf(call: InboundCall): String? = dialect.requestId(call.headers)?.let(dialect::parentOf)?.let(running::routeOf)
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/target/RunningRequests.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/RunningRequests.kt
@@ -2,17 +2,21 @@
 
 import java.util.concurrent.ConcurrentHashMap
 
-/** Names of the requests that the backend server beside this node is running. Thread-safe. */
+/** Routes of the requests that the backend server beside this node is running, by name of the request. Thread-safe. */
 internal class RunningRequests {
-    private val names: MutableSet<String> = ConcurrentHashMap.newKeySet()
+    private val routes = ConcurrentHashMap<String, String>()
 
-    fun started(name: String) {
-        names.add(name)
+    fun started(
+        name: String,
+        route: String,
+    ) {
+        routes[name] = route
     }
 
     fun ended(name: String) {
-        names.remove(name)
+        routes.remove(name)
     }
 
-    operator fun contains(name: String): Boolean = name in names
+    /** Returns the route of the running request [name], or null when there is none. */
+    fun routeOf(name: String): String? = routes[name]
 }
