Do not read a request behind an answer that closes the connection

Ruled out: the end of the process (it lived on for a second). Change: nothing is read behind a call that closes.

--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -154,7 +154,9 @@
         if (waiting.isEmpty() && !closing) ctx.channel().config().isAutoRead = true
     }
 
-    private fun mayReceive() = !closing && undispatched == null && rejection == null && calls.size < MAX_PIPELINED
+    // A request behind one that closes the connection is not read, and its caller may send it again.
+    private fun mayReceive() =
+        !closing && undispatched == null && rejection == null && calls.size < MAX_PIPELINED && calls.lastOrNull()?.closesConnection != true
 
     private fun requestsDone() {
         val status = rejection
--- a/node/src/test/kotlin/dev/lycheehill/node/DrainTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/DrainTest.kt
@@ -52,6 +52,25 @@
         }
     }
 
+    /** Guards against a request that is passed on and then cut, because the answer before it closes the connection. */
+    @Test
+    fun `a request behind the last one of a stopping node is not passed on`() {
+        TestMesh(targets = 1, backendSettings = slow).use { mesh ->
+            mesh.caller().use { caller ->
+                caller.send(RawClient.request("GET", "/orders", mapOf(BackendHeaders.REQUEST_KEY to "first")))
+                awaitUntil { mesh.backends[0].running == 1 }
+                val stopped = CompletableFuture.runAsync({ mesh.callerNode.finish(5_000) }, threads)
+                awaitUntil { runCatching { mesh.caller().close() }.isFailure }
+                Thread.sleep(50)
+                caller.send(RawClient.request("GET", "/orders", mapOf(BackendHeaders.REQUEST_KEY to "behind")))
+                expectThat(caller.read().body.trim()) isEqualTo "first 0"
+                expectThat(caller.isClosedByPeer()).isTrue()
+                stopped.join()
+                expectThat(mesh.runs.of("behind")) isEqualTo RunRecord()
+            }
+        }
+    }
+
     private fun callLater(
         mesh: TestMesh,
         key: String,
