--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
@@ -98,6 +98,7 @@
     /** Starts to serve and to follow the store. */
     fun start() {
         metrics.bindGauge(NodeMeter.LOG_UP) { if (fleet.isStoreLost) 0 else 1 }
+        MemberState.entries.forEach { state -> metrics.bindMembers(state) { fleet.members().values.count { it.state == state } } }
         peers.addresses = { (fleet.members() - settings.nodeId).values.map { it.controlAddress } }
         peers.onCrash = { evidence ->
             node.quarantine.onCrash(evidence, timers.wallMillis())
@@ -164,7 +165,11 @@
 
     private fun changed(change: FleetChange) {
         log(change)
-        if (change is FleetChange.ConfigurationInForce) timers.after(0, probe::run)
+        if (change !is FleetChange.ConfigurationInForce) return
+        timers.after(0) {
+            probe.run()
+            metrics.retainRoutes(fleet.foldState().content.routes.keys)
+        }
     }
 
     private fun log(change: FleetChange) =
