--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
@@ -168,7 +168,11 @@
         if (change !is FleetChange.ConfigurationInForce) return
         timers.after(0) {
             probe.run()
-            metrics.retainRoutes(fleet.foldState().content.routes.keys)
+            metrics.retainRoutes(
+                fleet
+                    .foldState()
+                    .content.routes.keys,
+            )
         }
     }
 
