Split the call at the caller's node: counts, sending and log fields are code of their own

Ruled out: changes of behaviour (116 tests of node and 49 of platform pass). Change: AttemptCounts, EgressAttempt.send, GivenUp.statusFor, HopResult.describe; log lines also give the age of a call.

--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressAttempt.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressAttempt.kt
@@ -4,14 +4,19 @@
 import dev.lycheehill.calls.balancing.LoadReport
 import dev.lycheehill.calls.balancing.TargetHandle
 import dev.lycheehill.core.Verdict
+import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.dialect.BackendAnswer
 import dev.lycheehill.node.http.CallHeaders
+import dev.lycheehill.node.loop.LoopContext
 import dev.lycheehill.node.relay.CollectedResponse
 import dev.lycheehill.node.relay.CollectorListener
 import dev.lycheehill.node.relay.ResponseCollector
 import dev.lycheehill.node.tracing.HopResult
 import dev.lycheehill.node.tracing.HopSpan
 import dev.lycheehill.node.upstream.ExchangeFailure
+import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
 
 /** One attempt of an [EgressCall] at one target. It reports its own end to the picker. */
 internal class EgressAttempt(
@@ -36,6 +41,31 @@
 
     override fun onStreamed() = owner.onStreamed(this)
 
+    /**
+     * Sends the attempt to its target.
+     *
+     * @param progressMs longest time without a byte of the answer.
+     * @param head makes the head of the request from its call id and the time limit that the target's node is told.
+     */
+    fun send(
+        loop: LoopContext,
+        settings: DataPathSettings,
+        progressMs: Long,
+        body: ByteBuf,
+        head: (String, Long?) -> HttpRequest,
+    ) {
+        val callId = loop.nextCallId()
+        collector =
+            ResponseCollector(
+                maxBytes = settings.maxBufferedResponseBytes,
+                judge = { if (it.headers().get(CallHeaders.CALL_ID) == callId) BackendAnswer.RAN else BackendAnswer.INVALID },
+                listener = this,
+            )
+        val request = head(callId, progressMs.takeIf { settings.endsSilentCalls })
+        val pool = loop.upstreams.pool(target.info.address)
+        collector.exchange = pool.send(request, body.retainedDuplicate(), progressMs + PROGRESS_GRACE_MS, collector)
+    }
+
     /** Gives up the attempt because its answer is not needed any more. */
     fun cancel() {
         collector.cancel()
@@ -76,4 +106,9 @@
     )
 
     private fun loadOf(headers: HttpHeaders): LoadReport? = headers.get(CallHeaders.LOAD)?.let(LoadHeader::parse)
+
+    private companion object {
+        // The target's node finds a silent backend server first and can then say so.
+        const val PROGRESS_GRACE_MS = 50L
+    }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -8,7 +8,6 @@
 import dev.lycheehill.calls.verdict.RetryDecision
 import dev.lycheehill.core.Verdict
 import dev.lycheehill.core.time.NANOS_PER_MILLI
-import dev.lycheehill.node.dialect.BackendAnswer
 import dev.lycheehill.node.http.CallHeaders
 import dev.lycheehill.node.http.HeaderRules
 import dev.lycheehill.node.http.InboundCall
@@ -16,7 +15,6 @@
 import dev.lycheehill.node.http.NodeResponses
 import dev.lycheehill.node.loop.LoopContext
 import dev.lycheehill.node.relay.CollectedResponse
-import dev.lycheehill.node.relay.ResponseCollector
 import dev.lycheehill.node.routing.RouteDecision
 import dev.lycheehill.node.tracing.Hop
 import dev.lycheehill.node.tracing.HopResult
@@ -57,10 +55,7 @@
     private val template = RequestTemplate(call, decision, home?.domain, environment.settings.callerService, isChild)
     private val tried = ArrayList<String>(2)
     private val running = ArrayList<EgressAttempt>(2)
-    private var attempts = 0
-    private var arrivals = 0
-    private var moves = 0
-    private var detours = 0
+    private val counts = AttemptCounts()
     private var isLastResort = false
     private var homeRetries = 0
     private var mayHaveRun = false
@@ -211,11 +206,11 @@
             noTarget()
             return
         }
-        attempts++
+        counts.onAttempt()
         tried.add(target.info.id)
         service.picker.onStart(target, now)
         val attemptSpan = environment.spans.start(Hop.ATTEMPT, span.traceparent)
-        send(EgressAttempt(this, target, allowance.lend(), attempts, attemptSpan), now)
+        send(EgressAttempt(this, target, allowance.lend(), counts.attempts, attemptSpan), now)
     }
 
     private fun mayAskForLate() = !isLastResort && home == null && decision.route.aimMs != null
@@ -228,7 +223,7 @@
     }
 
     private fun noTarget() {
-        if (moves > 0 && mayAskForLate()) return askForLate()
+        if (counts.moves > 0 && mayAskForLate()) return askForLate()
         val reason = if (home == null) "no-target" else "key-home-gone"
         giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.SERVICE_UNAVAILABLE, reason), leastRetryAfterMs ?: NO_TARGET_RETRY_MS)
     }
@@ -237,48 +232,38 @@
         attempt: EgressAttempt,
         nowNanos: Long,
     ) {
-        val remainingMs = deadline.remainingMs(nowNanos)
-        val callId = loop.nextCallId()
-        val collector =
-            ResponseCollector(
-                maxBytes = environment.settings.maxBufferedResponseBytes,
-                judge = { if (it.headers().get(CallHeaders.CALL_ID) == callId) BackendAnswer.RAN else BackendAnswer.INVALID },
-                listener = attempt,
-            )
-        attempt.collector = collector
         running.add(attempt)
-        val progressMs =
-            if (environment.settings.endsSilentCalls) {
-                service.progressLimitMs(remainingMs, idempotent)
-            } else {
-                remainingMs + 2 * environment.settings.deadlineGraceMs
-            }
-        val head =
+        attempt.send(loop, environment.settings, progressMs(nowNanos), call.body) { callId, progressMs ->
             template.head(
                 callId = callId,
                 targetId = attempt.target.info.id,
                 aimMs = aimMs(nowNanos),
                 acceptsLate = isLastResort,
-                deadlineMs = remainingMs,
+                deadlineMs = deadline.remainingMs(nowNanos),
                 retriesLeft = attempt.lentRetries.takeIf { environment.settings.sendsAllowances },
-                progressMs = progressMs.takeIf { environment.settings.endsSilentCalls },
+                progressMs = progressMs,
                 traceparent = attempt.span.traceparent,
             )
-        val pool = loop.upstreams.pool(attempt.target.info.address)
-        collector.exchange = pool.send(head, call.body.retainedDuplicate(), progressMs + PROGRESS_GRACE_MS, collector)
+        }
+    }
+
+    private fun progressMs(nowNanos: Long): Long {
+        val remainingMs = deadline.remainingMs(nowNanos)
+        if (environment.settings.endsSilentCalls) return service.progressLimitMs(remainingMs, idempotent)
+        return remainingMs + 2 * environment.settings.deadlineGraceMs
     }
 
     private fun aimMs(nowNanos: Long): Long? =
         decision.route.aimMs?.let { (it - ageMs - (nowNanos - startNanos) / NANOS_PER_MILLI).coerceAtLeast(0) }
 
     private fun next(outcome: GivenUp) {
-        if (outcome.arrived) arrivals++
+        counts.onEnd(outcome)
         if (running.isNotEmpty()) return
         val failed =
             FailedAttempt(
                 verdict = outcome.verdict,
                 idempotent = idempotent,
-                number = attempts - moves - detours,
+                number = counts.tries,
                 maxAttempts = decision.route.maxAttempts,
                 deadline = deadline,
                 allowance = allowance,
@@ -287,8 +272,8 @@
                 serverError = outcome.serverError,
                 arrived = outcome.arrived,
                 available = outcome.available,
-                moves = moves,
-                detours = detours,
+                moves = counts.moves,
+                detours = counts.detours,
             )
         when (val choice = service.retries.decide(failed, System.nanoTime())) {
             is RetryDecision.Final -> {
@@ -297,11 +282,8 @@
                 giveUp(outcome, choice.retryAfterMs)
             }
             is RetryDecision.Elsewhere -> {
-                when {
-                    !choice.isMove -> meters.retried()
-                    outcome.available -> moves++
-                    else -> detours++
-                }
+                if (!choice.isMove) meters.retried()
+                counts.onNext(outcome, choice)
                 retryAfter(choice.delayMs)
             }
         }
@@ -361,7 +343,7 @@
         ended(verdict, outcome.status, outcome.reason)
         NodeResponses.giveUp(
             call,
-            statusFor(outcome, verdict),
+            outcome.statusFor(verdict),
             verdict,
             outcome.reason,
             decision.version,
@@ -370,17 +352,6 @@
         )
     }
 
-    // "Unavailable" would state that the call did not run.
-    private fun statusFor(
-        outcome: GivenUp,
-        verdict: Verdict,
-    ): HttpResponseStatus =
-        if (verdict == Verdict.MAY_HAVE_RUN && outcome.status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
-            HttpResponseStatus.BAD_GATEWAY
-        } else {
-            outcome.status
-        }
-
     private fun ended(
         verdict: Verdict,
         status: HttpResponseStatus?,
@@ -398,31 +369,27 @@
                 route = routeName,
                 version = version,
                 target = tried.lastOrNull(),
-                attempt = attempts,
+                attempt = counts.attempts,
                 verdict = verdict,
                 status = status?.code(),
                 reason = reason,
             )
         span.end(result)
-        if (result.failed || attempts > 1) logEnd(result)
+        if (result.failed || counts.attempts > 1) environment.log(this, result)
     }
 
-    private fun logEnd(result: HopResult) =
-        environment.decisions.write(
-            "call-ended",
+    /** Fields of the log line about the end of this call. */
+    fun describe(): Array<Pair<String, Any?>> =
+        arrayOf(
             "request" to environment.dialect.requestId(call.headers),
-            "route" to result.route,
             "service" to decision.service.name,
-            "version" to result.version,
-            "verdict" to result.verdict.headerValue,
-            "status" to result.status,
-            "reason" to result.reason,
             "targets" to tried.joinToString(" "),
-            "arrivals" to arrivals,
-            "moves" to moves,
-            "detours" to detours,
+            "arrivals" to counts.arrivals,
+            "moves" to counts.moves,
+            "detours" to counts.detours,
             "child" to isChild,
             "priority" to decision.route.priority,
+            "age_ms" to ageMs,
             "elapsed_ms" to (System.nanoTime() - startNanos) / NANOS_PER_MILLI,
             "deadline_ms" to (deadline.atNanos - startNanos) / NANOS_PER_MILLI,
         )
@@ -452,9 +419,6 @@
         const val MAX_HOME_RETRY_MS = 100L
         const val HOME_RETRIES = 4
 
-        // The target's node finds a silent backend server first and can then say so.
-        const val PROGRESS_GRACE_MS = 50L
-
         // Server errors but "not implemented" and "gateway timeout", after which no time is left.
         val REPEATABLE_ERRORS = setOf(500, 502, 503)
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
@@ -14,6 +14,7 @@
 import dev.lycheehill.node.routing.EndpointIndex
 import dev.lycheehill.node.routing.Router
 import dev.lycheehill.node.target.RunningRequests
+import dev.lycheehill.node.tracing.HopResult
 import dev.lycheehill.node.tracing.SpanRecorder
 
 /** What all egress calls of a node share. */
@@ -36,4 +37,10 @@
 ) {
     /** Route of the running request for which the backend server beside this node made [call]; null when there is none. */
     fun parentRouteOf(call: InboundCall): String? = dialect.requestId(call.headers)?.let(dialect::parentOf)?.let(running::routeOf)
+
+    /** Writes the log line about the end of [call]. */
+    fun log(
+        call: EgressCall,
+        result: HopResult,
+    ) = decisions.write("call-ended", *result.describe(), *call.describe())
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/GivenUp.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/GivenUp.kt
@@ -19,4 +19,8 @@
     val arrived: Boolean = true,
     val available: Boolean = true,
     val serverError: Boolean = false,
-)
+) {
+    /** Status of the answer to a call with [verdict]. "Unavailable" would state that the call did not run. */
+    fun statusFor(verdict: Verdict): HttpResponseStatus =
+        if (verdict == Verdict.MAY_HAVE_RUN && status == HttpResponseStatus.SERVICE_UNAVAILABLE) HttpResponseStatus.BAD_GATEWAY else status
+}
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -336,21 +336,20 @@
         if (result.failed) logEnd(result)
     }
 
-    private fun logEnd(result: HopResult) =
+    private fun logEnd(result: HopResult) {
+        val now = System.nanoTime()
         environment.decisions.write(
             "target-call-ended",
             "request" to requestId,
-            "route" to result.route,
-            "verdict" to result.verdict.headerValue,
-            "status" to result.status,
-            "reason" to result.reason,
+            *result.describe(),
             "in_flight" to environment.admission.inFlight,
             "queued" to environment.admission.queued,
             "queue_ms" to result.queueNanos / NANOS_PER_MILLI,
-            "elapsed_ms" to (System.nanoTime() - arrivedNanos) / NANOS_PER_MILLI,
-            "left_ms" to deadline.remainingMs(System.nanoTime()),
+            "elapsed_ms" to (now - arrivedNanos) / NANOS_PER_MILLI,
+            "left_ms" to deadline.remainingMs(now),
             "instance" to environment.target.registration()?.instanceId,
         )
+    }
 
     private fun refuse(
         status: HttpResponseStatus,
--- a/node/src/main/kotlin/dev/lycheehill/node/tracing/HopResult.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/tracing/HopResult.kt
@@ -26,6 +26,16 @@
     /** Tells whether the span is kept regardless of sampling. */
     val failed: Boolean get() = verdict != Verdict.RAN || status == null || status >= FIRST_SERVER_ERROR
 
+    /** Fields of a log line about the end of the hop. */
+    fun describe(): Array<Pair<String, Any?>> =
+        arrayOf(
+            "route" to route,
+            "version" to version,
+            "verdict" to verdict.headerValue,
+            "status" to status,
+            "reason" to reason,
+        )
+
     private companion object {
         const val FIRST_SERVER_ERROR = 500
     }
