Give the answer to a caller a type of its own

Cause: EgressCall still did four things. Ruled out: changes of behaviour (tests of node and platform pass). Change: CallerAnswer.

--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -9,10 +9,8 @@
 import dev.lycheehill.core.Verdict
 import dev.lycheehill.core.time.NANOS_PER_MILLI
 import dev.lycheehill.node.http.CallHeaders
-import dev.lycheehill.node.http.HeaderRules
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.http.InboundCallListener
-import dev.lycheehill.node.http.NodeResponses
 import dev.lycheehill.node.loop.LoopContext
 import dev.lycheehill.node.relay.CollectedResponse
 import dev.lycheehill.node.routing.RouteDecision
@@ -60,7 +58,7 @@
     private var homeRetries = 0
     private var mayHaveRun = false
     private var leastRetryAfterMs: Long? = null
-    private var kept: CollectedResponse? = null
+    private val answer = CallerAnswer(call, decision.version, environment.dialect)
     private var streaming: EgressAttempt? = null
     private var timer: ScheduledFuture<*>? = null
     private var hedgeTimer: ScheduledFuture<*>? = null
@@ -92,7 +90,7 @@
     ) {
         running.remove(attempt)
         when (Verdict.fromHeader(response.headers.get(CallHeaders.VERDICT))) {
-            Verdict.RAN -> if (isRepeatable(response)) failedByBackend(attempt, response) else answer(attempt, response)
+            Verdict.RAN -> if (isRepeatable(response)) failedByBackend(attempt, response) else answered(attempt, response)
             Verdict.NOT_RUN -> refused(attempt, response)
             Verdict.MAY_HAVE_RUN -> uncertain(attempt, response)
         }
@@ -103,7 +101,7 @@
         hedgeTimer?.cancel(false)
         streaming = attempt
         val headers = attempt.collector.head.headers()
-        attempt.collector.streamTo(call, callerHeaders(headers, Verdict.RAN))
+        attempt.collector.streamTo(call, answer.headers(headers))
     }
 
     fun onStreamed(attempt: EgressAttempt) {
@@ -129,14 +127,14 @@
         next(GivenUp(failure.verdict, status, failure.kind.reason, arrived = failure.verdict != Verdict.NOT_RUN, available = false))
     }
 
-    private fun answer(
+    private fun answered(
         attempt: EgressAttempt,
         response: CollectedResponse,
     ) {
         cancelAllBut(null)
         ended(Verdict.RAN, response.status, null)
         attempt.end(response.status.toOutcome(), response.headers)
-        call.respond(response.status, callerHeaders(response.headers, Verdict.RAN), response.body)
+        answer.send(response)
     }
 
     // The answer of the last backend server is the caller's, unless a later one succeeds.
@@ -145,8 +143,7 @@
         response: CollectedResponse,
     ) {
         attempt.end(AttemptOutcome.FAILURE, response.headers)
-        kept?.body?.release()
-        kept = response
+        answer.keep(response)
         mayHaveRun = true
         next(GivenUp(Verdict.RAN, response.status, "backend-failed", serverError = true))
     }
@@ -332,24 +329,15 @@
         outcome: GivenUp,
         retryAfterMs: Long?,
     ) {
-        val answer = kept
-        if (answer != null) {
-            kept = null
-            ended(Verdict.RAN, answer.status, outcome.reason)
-            call.respond(answer.status, callerHeaders(answer.headers, Verdict.RAN), answer.body)
+        val kept = answer.takeKept()
+        if (kept != null) {
+            ended(Verdict.RAN, kept.status, outcome.reason)
+            answer.send(kept)
             return
         }
         val verdict = if (mayHaveRun) Verdict.MAY_HAVE_RUN else outcome.verdict
         ended(verdict, outcome.status, outcome.reason)
-        NodeResponses.giveUp(
-            call,
-            outcome.statusFor(verdict),
-            verdict,
-            outcome.reason,
-            decision.version,
-            retryAfterMs,
-            environment.dialect,
-        )
+        answer.giveUp(outcome, verdict, retryAfterMs)
     }
 
     private fun ended(
@@ -359,8 +347,7 @@
     ) {
         timer?.cancel(false)
         hedgeTimer?.cancel(false)
-        kept?.body?.release()
-        kept = null
+        answer.release()
         val now = System.nanoTime()
         meters.callFinished(verdict, now - startNanos)
         parentRoute?.let { environment.pressure.onChildEnd(it, refused = verdict == Verdict.NOT_RUN && reason != CALLER_GONE, now) }
@@ -399,17 +386,6 @@
         running.removeAll { it !== kept }
     }
 
-    private fun callerHeaders(
-        source: HttpHeaders,
-        verdict: Verdict,
-    ): HttpHeaders {
-        val headers = HeaderRules.endToEnd(source)
-        headers.set(CallHeaders.VERDICT, verdict.headerValue)
-        headers.set(CallHeaders.VERSION, decision.version.toString())
-        source.get(CallHeaders.REASON)?.let { headers.set(CallHeaders.REASON, it) }
-        return headers
-    }
-
     private fun reasonOf(headers: HttpHeaders): String = headers.get(CallHeaders.REASON) ?: "refused"
 
     private companion object {
