--- a/node/src/main/kotlin/dev/lycheehill/node/metrics/ShedReason.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/metrics/ShedReason.kt
@@ -1,4 +1,15 @@
 package dev.lycheehill.node.metrics
 
 /** Why the ingress refused a call before it ran. */
-enum class ShedReason { QUEUE_FULL, QUEUE_AGE, PRIORITY, DEADLINE, DRAINING, QUARANTINED, BACKEND, CHILD_PRESSURE, KEY_TABLE_FULL, NO_MAJORITY }
+enum class ShedReason {
+    QUEUE_FULL,
+    QUEUE_AGE,
+    PRIORITY,
+    DEADLINE,
+    DRAINING,
+    QUARANTINED,
+    BACKEND,
+    CHILD_PRESSURE,
+    KEY_TABLE_FULL,
+    NO_MAJORITY,
+}
