--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -6,6 +6,7 @@
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
@@ -58,6 +59,26 @@
         expectThat(nodes[4].fleet.foldState().version) isEqualTo 2
     }
 
+    /** Guards against reads that wait for ever at a store that had fallen silent, on all nodes at once. */
+    @Test
+    fun `three seconds after a silence of the store a configuration is in force within two seconds`() {
+        val late =
+            (1L..60L).filter { seed ->
+                val sim = StoreFleetSim(seed)
+                val nodes = sim.start(13)
+                sim.publish(1)
+                sim.advance(5_000 + seed * 100)
+                nodes.forEach { it.access.isSilent = true }
+                sim.advance(4_000)
+                nodes.forEach { it.access.isSilent = false }
+                sim.advance(3_000)
+                sim.publish(2)
+                sim.advance(2_000)
+                nodes.any { it.fleet.foldState().version != 2L }
+            }
+        expectThat(late).describedAs("seeds with a node that is late").isEmpty()
+    }
+
     /** Guards against a restart while the store is away: the others remember the node and send it beacons. */
     @Test
     fun `a node that starts while the store turns it away is found by the others`() {
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/memory/InMemoryKeyedStore.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/memory/InMemoryKeyedStore.kt
@@ -119,8 +119,9 @@
             listener: (Either<StoreError, RecordPage>) -> Unit,
         ) {
             var done = false
+            val silencesBefore = access.silences
             val finish = {
-                if (!done && !access.isSilent) {
+                if (!done && !access.isSilent && access.silences == silencesBefore) {
                     done = true
                     listener(page(state, fromOffset))
                 }
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/memory/StoreAccess.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/memory/StoreAccess.kt
@@ -5,8 +5,16 @@
     /** The store refuses all calls of the node. */
     var isRefusing = false
 
-    /** Waiting reads get no answer. */
+    /** Waiting reads get no answer, also not after the end of the silence. */
     var isSilent = false
+        set(value) {
+            if (value) silences++
+            field = value
+        }
+
+    /** Number of silences so far. */
+    var silences = 0
+        private set
 
     /** Writes take effect and are not answered. */
     var losesWriteAnswers = false
