Correct a comment on the volume of the decision log and wrap another

Cause: the comment called 15 KB a second a small part of 12 KB a second. Ruled out: a change of the bound; only comments changed.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -20,7 +20,8 @@
  *
  * Configurations and member records last at the store. Each node follows the configurations and reads the records when
  * it starts. From then on, nodes send each other beacons with their own record, their version and a hash of their table;
- * a node that finds itself behind asks the sender. So a node that the store turns away, and a zone that is cut off from it, still get what another node has.
+ * a node that finds itself behind asks the sender. So a node that the store turns away, and a zone that is cut off from
+ * it, still get what another node has.
  *
  * All functions are called on the thread of [timers] but the reads of [FleetView], which take no lock.
  *
--- a/node/src/main/kotlin/dev/lycheehill/node/logging/DecisionLog.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/logging/DecisionLog.kt
@@ -53,7 +53,7 @@
     private companion object {
         const val NANOS_PER_SECOND = 1_000_000_000L
 
-        // About 15 KB a second, a small part of the 12 KB/s of control traffic and of a core at the planned size.
+        // At about 250 bytes a line, 15 KB a second.
         const val LINES_PER_SECOND = 60
     }
 }
