Close the listener of a crashing backend stand-in before its connections, in truth

Cause: a channel that is registered with a selector is closed by the JDK only when the event loop selects again. Until then the system accepts connections for the listener, while the connections have already sent their end. A node that saw its call end and probed the port at once found it accepting, so the crash was no evidence, and CrashRequestTest saw 3 and 4 starts. Ruled out: the port being taken by another listener (each stand-in keeps its own), evidence between nodes (delivered in the same call). Closing the listener first did not help, because close() returns before the system has closed it. Change: the connections are closed after one more selection.

--- a/standins/src/main/kotlin/dev/lycheehill/standins/backend/BackendStandIn.kt
+++ b/standins/src/main/kotlin/dev/lycheehill/standins/backend/BackendStandIn.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.util.concurrent.DefaultThreadFactory
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 
 /**
  * HTTP server that stands in for a backend server: slots, service times, drain, cold start, shedding, cancellation by
@@ -75,12 +76,17 @@
     /** Closes the listener and then all connections, so that nobody who saw a connection end is still accepted. */
     fun crash() {
         val closed = channel?.close()
-        if (closed == null) eventLoop.execute(work::closeConnections) else closed.addListener { eventLoop.execute(work::closeConnections) }
+        if (closed == null) eventLoop.execute(work::closeConnections) else closed.addListener { closeConnectionsLater() }
+    }
+
+    // The system accepts connections for a closed listener until the event loop has selected once more.
+    private fun closeConnectionsLater() {
+        eventLoop.schedule(work::closeConnections, SELECTION_MS, TimeUnit.MILLISECONDS)
     }
 
     override fun close() {
         crash()
-        ownGroup?.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS)
+        ownGroup?.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
     private fun initializer() =
@@ -93,6 +99,7 @@
     /** Constants and event loops shared by stand-ins. */
     companion object {
         private const val BACKLOG = 1_024
+        private const val SELECTION_MS = 1L
         private const val MAX_BODY_BYTES = 16 * 1024 * 1024
 
         /** Returns event loops that several stand-ins can share. */
