Let a few nodes of each zone read the configuration and the others ask them, packed

Change: the first five nodes of each zone by id read at the store, the others take a new version from a node of their zone; replies between nodes are deflated, and the configuration is packed once. A node that pauses after a change does not ask besides. All member records are asked for at most once a second while the store is away. Found by the new test: the CBOR decoder throws IllegalStateException for bytes that end early, which a truncated member record or datagram would have let out; caught and tested.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/MemberCodec.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/MemberCodec.kt
@@ -22,5 +22,7 @@
             "not a member record: ${e.message}".left()
         } catch (e: IllegalArgumentException) {
             "not a member record: ${e.message}".left()
+        } catch (e: IllegalStateException) {
+            "member record ends early: ${e.message}".left()
         }
 }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
@@ -6,6 +6,8 @@
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.fleet.membership.MemberTable
+import dev.lycheehill.platformlog.keyed.ReaderRole
+import kotlin.random.Random
 
 /**
  * The members as their records and their beacons show them. A member that has fallen silent is shown as suspected.
@@ -88,10 +90,34 @@
     }
 
     /**
-     * Whether this node looks out for a store that comes back from a silence: the first by node id of those that are heard.
-     * Nodes whose views differ may both look out, which costs calls and does no harm.
+     * Part of this node in reading the configuration: the lookout is the first by node id of those that are heard, the
+     * readers are the first of each zone. Nodes whose views differ may both read, which costs calls and does no harm.
      */
-    fun isLookout(): Boolean = view.values.none { it.nodeId < self.nodeId && it.state < MemberState.SUSPECT }
+    fun role(): ReaderRole {
+        val before = view.values.filter { it.nodeId < self.nodeId && it.state < MemberState.SUSPECT }
+        return when {
+            before.isEmpty() -> ReaderRole.LOOKOUT
+            before.count { it.zone == self.zone } < settings.readersPerZone -> ReaderRole.READER
+            else -> ReaderRole.LISTENER
+        }
+    }
+
+    /** Other members of this node's zone that do not read the configuration at the store. */
+    fun listenersInZone(): List<MemberRecord> =
+        peers()
+            .filter { it.zone == self.zone }
+            .sortedBy { it.nodeId }
+            .drop(settings.readersPerZone - 1)
+
+    /** A member that is heard and has a configuration above [version], of this node's zone if there is one. */
+    fun sourceAbove(
+        version: Long,
+        random: Random,
+    ): MemberRecord? {
+        val newer = versions.filterValues { it > version }.keys.mapNotNull { view[it] }
+        val heard = newer.filter { it.state != MemberState.SUSPECT }
+        return heard.filter { it.zone == self.zone }.ifEmpty { heard }.randomOrNull(random)
+    }
 
     /** Finds the members that have fallen silent and those that are back. */
     fun review() {
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -4,6 +4,7 @@
 import dev.lycheehill.config.model.ConfigContent
 import dev.lycheehill.core.time.Subscription
 import dev.lycheehill.core.time.TimerService
+import dev.lycheehill.core.time.nowMs
 import dev.lycheehill.fleet.FleetView
 import dev.lycheehill.fleet.InForceReport
 import dev.lycheehill.fleet.membership.MemberRecord
@@ -11,6 +12,7 @@
 import dev.lycheehill.platformlog.keyed.KeyedRecord
 import dev.lycheehill.platformlog.keyed.KeyedStore
 import dev.lycheehill.platformlog.keyed.KeyedTopic
+import dev.lycheehill.platformlog.keyed.ReaderRole
 import dev.lycheehill.platformlog.keyed.StoreError
 import dev.lycheehill.platformlog.keyed.TopicFollower
 import kotlin.random.Random
@@ -18,8 +20,8 @@
 /**
  * One node's part in a fleet that meets at the platform's store.
  *
- * Configurations and member records last at the store. Each node follows the configurations and reads the records when
- * it starts. From then on, nodes send each other beacons with their own record, their version and a hash of their table;
+ * Configurations and member records last at the store. Each node reads both when it starts; some nodes of each zone then
+ * follow the configurations. From then on, nodes send each other beacons with their own record, their version and a hash of their table;
  * a node that finds itself behind asks the sender. So a node that the store turns away, and a zone that is cut off from
  * it, still get what another node has.
  *
@@ -42,13 +44,14 @@
     private val publication = RecordPublication(store, timers, settings, random, onChange)
     private val beacons = BeaconSchedule(settings, random)
     private val configurations =
-        TopicFollower(store, KeyedTopic.CONFIGURATION, timers, settings.follower, random, members::isLookout, ::configurationRead) {
+        TopicFollower(store, KeyedTopic.CONFIGURATION, timers, settings.follower, random, members::role, ::configurationRead) {
             linkChanged(KeyedTopic.CONFIGURATION, it)
         }
     private val directory =
         DirectoryReader(store, timers, settings, random, ::recordRead, ::tellAll) { linkChanged(KeyedTopic.MEMBERS, it) }
     private var subscription: Subscription? = null
     private var syncing = false
+    private var tableAskedAtMs = timers.nowMs()
 
     @Volatile
     private var state = FoldState.initial()
@@ -111,6 +114,12 @@
         members.peers().forEach { peers.send(it.controlAddress, beacon) }
     }
 
+    private fun tellNewVersion() {
+        val beacon = beacon(record = null)
+        val receivers = if (members.role() == ReaderRole.LOOKOUT) members.peers() else members.listenersInZone()
+        receivers.forEach { peers.send(it.controlAddress, beacon) }
+    }
+
     private fun tick() {
         members.review()
         val beacon = beacon(self.takeIf { members.hasChangedRecently })
@@ -126,16 +135,35 @@
         // A sender that is not known has read this node's record and sends its own when it has written it.
         val sender = members.find(beacon.nodeId) ?: return
         if (sender.incarnation < beacon.incarnation) askFor(sender)
-        if (isBehind(beacon)) later { if (isBehind(beacon)) askFor(sender) }
+        if (isBehind(beacon)) later { catchUp(beacon, sender) }
     }
 
     // Usually the store tells this node at the same time, so a node that reaches it waits for a moment.
-    private fun later(task: () -> Unit) {
-        if (isStoreLost || !isReady) task() else timers.after(settings.syncDelayMs, task)
-    }
+    private fun later(task: () -> Unit) =
+        when {
+            isStoreLost || !isReady -> task()
+            members.role() == ReaderRole.LISTENER -> timers.after(random.nextLong(settings.listenSpreadMs), task)
+            else -> timers.after(settings.syncDelayMs, task)
+        }
+
+    private fun isBehind(beacon: Beacon): Boolean = beacon.version > state.version || lacksMembers(beacon)
 
-    private fun isBehind(beacon: Beacon): Boolean =
-        beacon.version > state.version || ((isStoreLost || !isReady) && beacon.tableHash != members.hash())
+    private fun lacksMembers(beacon: Beacon): Boolean =
+        (isStoreLost || !isReady) &&
+            beacon.tableHash != members.hash() &&
+            (!isReady || timers.nowMs() - tableAskedAtMs >= settings.tableSyncMs)
+
+    private fun catchUp(
+        beacon: Beacon,
+        sender: MemberRecord,
+    ) {
+        if (beacon.version > state.version) {
+            if (!configurations.isPausing) askFor(members.sourceAbove(state.version, random) ?: sender)
+        } else if (lacksMembers(beacon)) {
+            tableAskedAtMs = timers.nowMs()
+            askFor(sender)
+        }
+    }
 
     private fun askFor(sender: MemberRecord) {
         if (syncing) return
@@ -161,7 +189,7 @@
     private fun configurationRead(record: KeyedRecord) {
         val value = record.value ?: return
         decode.decode(record.key, value).fold({ onChange(FleetChange.ConfigurationUnreadable(record.offset, it)) }) {
-            if (it != null && apply(it.version, it.content, "store offset ${record.offset}") && members.isLookout()) tellAll()
+            if (it != null && apply(it.version, it.content, "store offset ${record.offset}")) tellNewVersion()
         }
     }
 
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetSettings.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetSettings.kt
@@ -10,6 +10,10 @@
  * @property suspectAfterMs silence after which a node that gets a beacon each period is suspected.
  * @property repeatRecordMs time for which beacons carry a record that has changed, as single ones may be lost.
  * @property syncDelayMs time for which a node that reaches the store waits for it before it asks another node.
+ * @property readersPerZone nodes of each zone that wait at the store for configurations, the others take them from a node
+ *   of their zone; each call is priced, and one reader or all of a zone may be turned away.
+ * @property listenSpreadMs time over which the nodes of a zone spread their questions for a new configuration.
+ * @property tableSyncMs shortest time between two questions for all member records, which are long in a large fleet.
  * @property directoryPeriodMs mean period in which the member records are read again, for what no beacon has told.
  * @property retryMs longest pause before a record is written again; entries are due 2 s after the store is back.
  */
@@ -19,6 +23,9 @@
     val suspectAfterMs: Long = 3_500,
     val repeatRecordMs: Long = 5_000,
     val syncDelayMs: Long = 600,
+    val readersPerZone: Int = 5,
+    val listenSpreadMs: Long = 300,
+    val tableSyncMs: Long = 1_000,
     val directoryPeriodMs: Long = 30_000,
     val retryMs: Long = 500,
     val follower: FollowerSettings = FollowerSettings(),
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetSim.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetSim.kt
@@ -31,6 +31,9 @@
         configure: (StoreAccess) -> Unit = {},
     ): List<Node> = List(count) { start("n${first + it}", incarnation = 100, configure) }
 
+    /** Starts a node whose id sorts behind those of the nodes before it. */
+    fun startMany(count: Int): List<Node> = List(count) { start("n%03d".format(100 + it), incarnation = 100) {} }
+
     /** Ends the process of [node] without a word and starts a new one. */
     fun restart(
         node: Node,
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -214,12 +214,55 @@
         expectThat(sim.store.calls - before).isGreaterThan(13 * 4)
     }
 
+    /** Guards against a call to the store by each node of a large fleet for each change. */
+    @Test
+    fun `a change costs a large fleet as many calls to the store as there are readers`() {
+        val nodes = sim.startMany(89)
+        sim.publish(1)
+        sim.advance(20_000)
+        val before = sim.store.calls
+        repeat(5) {
+            sim.publish(2L + it)
+            sim.advance(2_000)
+            expectThat(nodes).all { get { fleet.foldState().version } isEqualTo 2L + it }
+        }
+        // Readers and the lookout; besides, one reading of the directory by each node in 30 s.
+        expectThat(sim.store.calls - before).isLessThanOrEqualTo(5 * (5 + 1) + 10 + 89 / 3 + 10)
+    }
+
+    /** Guards against listeners that depend on nodes that the store turns away, or that have gone. */
+    @Test
+    fun `a large fleet gets the configuration while all readers but one are turned away, and after they have gone`() {
+        val nodes = sim.startMany(89)
+        sim.publish(1)
+        sim.advance(20_000)
+        nodes.take(4).forEach { it.access.isRefusing = true }
+        sim.publish(2)
+        sim.advance(2_000)
+        expectThat(nodes).all { get { fleet.foldState().version } isEqualTo 2 }
+        nodes.take(5).forEach { it.fleet.stop() }
+        val left = nodes.drop(5)
+        nodes.take(5).forEach { sim.cut(it.id) }
+        sim.advance(30_000)
+        sim.publish(3)
+        sim.advance(2_000)
+        expectThat(left).all { get { fleet.foldState().version } isEqualTo 3 }
+    }
+
     /** Guards against a record of another writer that stops a node. */
     @Test
     fun `unreadable records are passed over`() {
         sim.store.write(KeyedTopic.MEMBERS, "n9", byteArrayOf(1, 2, 3))
+        val whole =
+            MemberCodec.encode(
+                sim
+                    .start(1)
+                    .single()
+                    .fleet.self,
+            )
+        sim.store.write(KeyedTopic.MEMBERS, "n8", whole.copyOf(whole.size - 5))
         sim.store.write(KeyedTopic.CONFIGURATION, "config", byteArrayOf())
-        val nodes = sim.start(2)
+        val nodes = sim.start(2, first = 1)
         sim.publish(3)
         sim.advance(3_000)
         expectThat(nodes).all { get { fleet.foldState().version } isEqualTo 3 }
--- a/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
@@ -30,7 +30,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import java.net.InetSocketAddress
@@ -61,6 +60,7 @@
     override var onRequest: (SyncRequest) -> SyncReply = { SyncReply(0, null, emptyList()) }
 
     private val cbor = Cbor { ignoreUnknownKeys = true }
+    private val replies = SyncReplyCodec()
     private val caller = HttpCaller(eventLoop, CONNECT_TIMEOUT_MS, KEEP_ALIVE_IDLE_S)
     private val server = DataPathServer(DataPathSettings(), Transport.NIO, group, CallHandler(::serve), metrics)
     private lateinit var datagrams: Channel
@@ -120,28 +120,32 @@
             result.fold({
                 log.info { "no state from $address: ${it.reason}" }
                 listener(null)
-            }) { listener(decode(SyncReply.serializer(), it.body, address)) }
+            }) { listener(decode(it.body, address, replies::decode)) }
         }
     }
 
     private fun serve(call: InboundCall) {
-        val request = decode(SyncRequest.serializer(), ByteBufUtil.getBytes(call.body), "${call.callerAddress}")
+        val request =
+            decode(ByteBufUtil.getBytes(call.body), "${call.callerAddress}") { cbor.decodeFromByteArray(SyncRequest.serializer(), it) }
         val status = if (request == null) HttpResponseStatus.BAD_REQUEST else HttpResponseStatus.OK
-        val body = request?.let { cbor.encodeToByteArray(SyncReply.serializer(), onRequest(it)) } ?: ByteArray(0)
+        val body = request?.let { replies.encode(onRequest(it)) } ?: ByteArray(0)
         call.respond(status, HeaderRules.newHeaders(), Unpooled.wrappedBuffer(body))
     }
 
     private fun <T> decode(
-        serializer: KSerializer<T>,
         bytes: ByteArray,
         source: String,
+        decoder: (ByteArray) -> T,
     ): T? =
         try {
-            cbor.decodeFromByteArray(serializer, bytes)
+            decoder(bytes)
         } catch (e: SerializationException) {
             unreadable(source, e)
         } catch (e: IllegalArgumentException) {
             unreadable(source, e)
+        } catch (e: IllegalStateException) {
+            // The decoder's word for bytes that end early.
+            unreadable(source, e)
         }
 
     private fun unreadable(
@@ -152,6 +156,8 @@
         return null
     }
 
+    private fun datagram(bytes: ByteArray): PeerDatagram = cbor.decodeFromByteArray(PeerDatagram.serializer(), bytes)
+
     private fun socketAddress(address: String) =
         InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
 
@@ -160,7 +166,7 @@
             ctx: ChannelHandlerContext,
             packet: DatagramPacket,
         ) {
-            val message = decode(PeerDatagram.serializer(), ByteBufUtil.getBytes(packet.content()), "${packet.sender()}") ?: return
+            val message = decode(ByteBufUtil.getBytes(packet.content()), "${packet.sender()}", ::datagram) ?: return
             message.beacon?.let { onBeacon(it) }
             message.crash?.let { onCrash(it) }
             message.success?.let { onSuccess(it) }
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
@@ -11,8 +11,7 @@
  * Records may be delivered twice and, after a compaction, in order of keys, so [onRecord] decides by the content. Used on
  * the thread of the store's client and of [timers], which are the same.
  *
- * @param isLookout whether this node is the one whose reads are short, so that a store that had fallen silent for all
- *   is soon found again.
+ * @param role this node's part in reading, asked before each read.
  * @param onLink told when the store is lost or regained, with the reason.
  */
 class TopicFollower(
@@ -21,7 +20,7 @@
     private val timers: TimerService,
     private val settings: FollowerSettings,
     private val random: Random,
-    private val isLookout: () -> Boolean = { false },
+    private val role: () -> ReaderRole = { ReaderRole.READER },
     private val onRecord: (KeyedRecord) -> Unit,
     private val onLink: (StoreError?) -> Unit,
 ) {
@@ -37,6 +36,10 @@
     /** Whether the last call failed. */
     val isLost: Boolean get() = failures > 0
 
+    /** Whether new records have just been read, so that those that follow are read soon. */
+    var isPausing = false
+        private set
+
     /** Starts to follow. */
     fun start() = readNewest(after = null, endOffset = null)
 
@@ -70,6 +73,15 @@
     }
 
     private fun read() {
+        isPausing = false
+        if (role() == ReaderRole.LISTENER && !isLost) listen() else readOn()
+    }
+
+    // Reads the newest records only, as a listener has taken the ones between from other nodes.
+    private fun listen(): Unit =
+        later(settings.roleReviewMs) { if (role() == ReaderRole.LISTENER) listen() else readNewest(after = null, endOffset = null) }
+
+    private fun readOn() {
         store.read(topic, nextOffset, waitMs()) { result ->
             received(result, ::read, ::recordsRead)
         }
@@ -79,7 +91,7 @@
     private fun waitMs(): Long =
         when {
             isLost -> 0
-            isLookout() -> settings.lookoutWaitMs
+            role() == ReaderRole.LOOKOUT -> settings.lookoutWaitMs
             else -> random.nextLong(settings.waitMs / 2, settings.waitMs)
         }
 
@@ -87,7 +99,12 @@
         nextOffset = page.nextOffset
         page.records.forEach(onRecord)
         // Records that come in quick succession are read together.
-        if (page.records.isEmpty()) read() else later(settings.pauseMs, ::read)
+        if (page.records.isEmpty()) {
+            read()
+            return
+        }
+        isPausing = true
+        later(settings.pauseMs, ::read)
     }
 
     private fun <T> received(
