Earn retries by the requests of clients only, two a node at least

Change: calls of running requests add nothing to the budget of a SlotPolicies node, and its floor is 2. RetryPolicyTest failed to compile before (no distinction existed) and passes.

--- a/calls/src/main/kotlin/dev/lycheehill/calls/verdict/BudgetedRetryPolicy.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/verdict/BudgetedRetryPolicy.kt
@@ -7,14 +7,23 @@
  *
  * A call that reached no backend server may be moved without any of these but the deadline: up to [maxMoves] times after
  * a refusal for load, and up to [maxDetours] times after a target that was not available.
+ *
+ * @param countsChildren whether calls of running requests add to the budget. Where the fleet's budget is a share of the
+ *   requests of clients, they do not: a service may get several times as many calls from other services.
  */
 class BudgetedRetryPolicy(
     private val budget: RetryBudget = RetryBudget(),
     private val defaultRetryAfterMs: Long = 1_000,
     private val maxMoves: Int = 0,
     private val maxDetours: Int = 0,
+    private val countsChildren: Boolean = true,
 ) : RetryPolicy {
-    override fun onCall(nowNanos: Long) = budget.onCall(nowNanos)
+    override fun onCall(
+        nowNanos: Long,
+        isChild: Boolean,
+    ) {
+        if (countsChildren || !isChild) budget.onCall(nowNanos)
+    }
 
     override fun decide(
         attempt: FailedAttempt,
--- a/calls/src/test/kotlin/dev/lycheehill/calls/verdict/RetryPolicyTest.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/verdict/RetryPolicyTest.kt
@@ -148,4 +148,18 @@
         while (allowance.takeOne()) retries += 1 + failingCall(RetryAllowance(allowance.lend()), depth - 1)
         return retries
     }
+
+    /** Guards against a fleet's budget, a share of the requests of clients, that calls between services use up. */
+    @Test
+    fun `calls of running requests earn no retries where they do not count`() {
+        val counted = BudgetedRetryPolicy(RetryBudget(floor = 0))
+        val uncounted = BudgetedRetryPolicy(RetryBudget(floor = 0), countsChildren = false)
+        val failed = FailedAttempt(Verdict.NOT_RUN, true, 1, 3, Deadline.after(1_000, 0), RetryAllowance())
+        listOf(counted, uncounted).forEach { policy -> repeat(100) { policy.onCall(0, isChild = true) } }
+        expectThat(counted.decide(failed, 0)).isA<RetryDecision.Elsewhere>()
+        expectThat(uncounted.decide(failed, 0)).isA<RetryDecision.Final>()
+        repeat(10) { uncounted.onCall(0) }
+        expectThat(uncounted.decide(failed, 0)).isA<RetryDecision.Elsewhere>()
+        expectThat(uncounted.decide(failed, 0)).isA<RetryDecision.Final>()
+    }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -66,7 +66,7 @@
     fun start() {
         val now = System.nanoTime()
         call.listener = this
-        service.retries.onCall(now)
+        service.retries.onCall(now, isChild)
         service.hedges.onCall(now)
         val graceNanos = 2 * environment.settings.deadlineGraceMs * NANOS_PER_MILLI
         timer = loop.eventLoop.schedule(::onDeadline, deadline.remainingNanos(now) + graceNanos, TimeUnit.NANOSECONDS)
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/ServiceTable.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/ServiceTable.kt
@@ -1,7 +1,6 @@
 package dev.lycheehill.node.egress
 
 import dev.lycheehill.calls.hedging.LatencyQuantile
-import dev.lycheehill.calls.verdict.RetryBudget
 import dev.lycheehill.config.model.Service
 import dev.lycheehill.node.policy.CallPolicies
 import java.util.concurrent.ConcurrentHashMap
@@ -27,7 +26,7 @@
 
     private fun create(service: Service): ServiceCalls {
         val latency = LatencyQuantile()
-        val budget = RetryBudget()
+        val budget = policies.newRetryBudget()
         return ServiceCalls(
             picker = policies.newPicker(service, zone, seed xor service.name.hashCode().toLong()),
             retries = policies.newRetryPolicy(service, budget),
--- a/node/src/main/kotlin/dev/lycheehill/node/policy/CallPolicies.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/policy/CallPolicies.kt
@@ -17,6 +17,9 @@
         seed: Long,
     ): TargetPicker
 
+    /** Returns a new budget for the retries of one service. */
+    fun newRetryBudget(): RetryBudget = RetryBudget()
+
     /** Returns a new retry policy for the calls to [service], which takes its retries from [budget]. */
     fun newRetryPolicy(
         service: Service,
--- a/node/src/main/kotlin/dev/lycheehill/node/policy/SlotPolicies.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/policy/SlotPolicies.kt
@@ -30,10 +30,12 @@
         seed: Long,
     ): TargetPicker = WaitAwarePicker(zone, seed)
 
+    override fun newRetryBudget(): RetryBudget = RetryBudget(floor = RETRY_FLOOR)
+
     override fun newRetryPolicy(
         service: Service,
         budget: RetryBudget,
-    ): RetryPolicy = BudgetedRetryPolicy(budget, maxMoves = maxMoves, maxDetours = maxDetours)
+    ): RetryPolicy = BudgetedRetryPolicy(budget, maxMoves = maxMoves, maxDetours = maxDetours, countsChildren = false)
 
     override fun newHedgePolicy(
         service: Service,
@@ -47,6 +49,9 @@
     ): AdmissionControl = SlotAdmission(SlotAdmissionSettings(slots = slots))
 
     private companion object {
+        // The fleet's budget has a constant part of two retries or more for each node.
+        const val RETRY_FLOOR = 2
+
         // When the two targets that seemed least loaded refuse, the others seldom have room, and each move costs processor time.
         const val DEFAULT_MOVES = 2
 
