--- /dev/null
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/ExplainRequestCommand.kt
@@ -0,0 +1,54 @@
+package dev.lycheehill.cli.command
+
+import dev.lycheehill.cli.ExitCode
+import dev.lycheehill.cli.logs.LogLine
+import dev.lycheehill.cli.logs.RequestExplanation
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Option
+import picocli.CommandLine.ParameterException
+import picocli.CommandLine.Parameters
+import picocli.CommandLine.Spec
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Callable
+
+/** Explains one request from the logs of several processes. */
+@Command(
+    name = "explain-request",
+    mixinStandardHelpOptions = true,
+    description = [
+        "Prints the path of one request from the logs of several processes, in order of cause, with what is missing.",
+        "A file holds the log of one process, whose name is that of the file, or of several, each line behind the name of its process.",
+    ],
+    footer = ["", "Example: lycheehill explain-request --id 1750102bc69c8fa3 sidecar-a-1.log sidecar-b-2.log"],
+)
+class ExplainRequestCommand : Callable<Int> {
+    @Option(names = ["--id"], paramLabel = "ID", required = true, description = ["Id of the request."])
+    lateinit var id: String
+
+    @Parameters(arity = "1..*", paramLabel = "FILE", description = ["Structured logs."])
+    lateinit var files: List<Path>
+
+    @Spec
+    lateinit var spec: CommandSpec
+
+    override fun call(): Int {
+        val explanation = RequestExplanation(id, files.flatMap(::linesOf))
+        val out = spec.commandLine().out
+        if (!explanation.isFound) {
+            out.println(
+                "no line names request $id: it ended with a success on the first target, or its log is not given",
+            )
+        }
+        if (explanation.isFound) explanation.text().forEach(out::println)
+        out.flush()
+        return if (explanation.isFound) ExitCode.OK else ExitCode.FAILED
+    }
+
+    private fun linesOf(file: Path): List<LogLine> {
+        if (!Files.isReadable(file)) throw ParameterException(spec.commandLine(), "cannot read $file")
+        val process = file.fileName.toString().substringBeforeLast('.')
+        return Files.newBufferedReader(file).useLines { lines -> lines.mapNotNull { LogLine.parse(it, process) }.toList() }
+    }
+}
--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
@@ -24,6 +24,7 @@
         ShowCommand::class,
         HistoryCommand::class,
         ExplainCommand::class,
+        ExplainRequestCommand::class,
         DrainCommand::class,
         QuarantineCommand::class,
         TraceCommand::class,
--- /dev/null
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/logs/RequestExplanation.kt
@@ -0,0 +1,116 @@
+package dev.lycheehill.cli.logs
+
+/**
+ * Path of one request through the nodes, from their logs: the caller's node, each target's node, then the calls that the
+ * request made, in order of cause. Clocks differ between instances and are not used.
+ */
+class RequestExplanation(
+    private val requestId: String,
+    private val lines: List<LogLine>,
+) {
+    private val callEnds = lines.filter { it.message == CALL_ENDED }.groupBy { it.requestId }
+    private val targetEnds = lines.filter { it.message == TARGET_ENDED }.groupBy { it.requestId }
+
+    /** Whether any line names the request. */
+    val isFound: Boolean get() = requestId in callEnds || requestId in targetEnds
+
+    /** The explanation as lines of text. */
+    fun text(): List<String> = describe(requestId, "") + leftOut()
+
+    private fun describe(
+        id: String,
+        indent: String,
+    ): List<String> {
+        val ended = callEnds[id].orEmpty()
+        val atTargets = targetEnds[id].orEmpty()
+        val head =
+            if (ended.isEmpty()) {
+                listOf(
+                    "${indent}request $id: no line of the caller's node, $NO_LINE_REASON",
+                )
+            } else {
+                ended.map { caller(it, indent) }
+            }
+        val tried = ended.flatMap { it.targets }
+        val atTried = tried.map { target(it, atTargets.filter { line -> line.process == it }, indent) }
+        val elsewhere = atTargets.filter { it.process !in tried }.map { "$indent  at ${it.process}: ${outcome(it)}" }
+        return head + atTried + elsewhere + childrenOf(id).flatMap { describe(it, "$indent    ") }
+    }
+
+    private fun caller(
+        line: LogLine,
+        indent: String,
+    ) = "${indent}request ${line.requestId} at ${line.process}: ${outcome(line)}"
+
+    private fun target(
+        process: String,
+        found: List<LogLine>,
+        indent: String,
+    ): String =
+        when {
+            found.isNotEmpty() -> found.joinToString("\n") { "$indent  at $process: ${outcome(it)}" }
+            lines.none { it.process == process } -> "$indent  at $process: its log is not given"
+            else -> "$indent  at $process: no line, $NO_LINE_REASON"
+        }
+
+    private fun outcome(line: LogLine): String {
+        val reason = line.fields["reason"]
+        val parts = listOfNotNull(line.fields["verdict"], line.fields["status"], reason, reason?.let(REASONS::get)?.let { "($it)" })
+        val inputs = line.fields.filterKeys { it in INPUTS }.map { (name, value) -> "$name=$value" }
+        return (parts + inputs).joinToString(" ")
+    }
+
+    // A call of a running request has an id of its own behind that of the request.
+    private fun childrenOf(id: String): List<String> =
+        (callEnds.keys + targetEnds.keys).filterNotNull().filter { it.startsWith("$id.") && '.' !in it.removePrefix("$id.") }.distinct()
+
+    private fun leftOut(): List<String> =
+        lines
+            .groupBy { it.process }
+            .mapValues { (_, ofProcess) -> ofProcess.sumOf { it.suppressedLines } }
+            .filterValues { it > 0 }
+            .map { (process, count) -> "$process left out $count lines under load; a missing line may be one of them" }
+
+    private companion object {
+        const val CALL_ENDED = "call-ended"
+        const val TARGET_ENDED = "target-call-ended"
+        const val NO_LINE_REASON = "as after a success on the first target"
+
+        val INPUTS =
+            setOf(
+                "route",
+                "service",
+                "version",
+                "priority",
+                "moves",
+                "detours",
+                "arrivals",
+                "in_flight",
+                "queued",
+                "queue_ms",
+                "age_ms",
+                "elapsed_ms",
+                "left_ms",
+                "deadline_ms",
+                "instance",
+            )
+
+        val REASONS =
+            mapOf(
+                "queue-time" to "the instance could not have answered in time",
+                "queue-full" to "the queue of the instance was full",
+                "child-pressure" to "calls of this route to other services were being refused",
+                "backend-refused" to "the backend server itself refused",
+                "backend-down" to "the backend server accepted no connection",
+                "draining" to "the backend server was leaving",
+                "lease-expired" to "the backend server had sent no heartbeat",
+                "no-target" to "no instance of the service was left to try",
+                "no-configuration" to "the node had not read a configuration",
+                "quarantined" to "backend servers died while they ran it",
+                "deadline" to "the time of the caller was over",
+                "caller-gone" to "the caller closed its connection",
+                "connect-failed" to "the other node accepted no connection",
+                "connection-closed" to "the connection ended before the answer",
+            )
+    }
+}
