--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetSim.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetSim.kt
@@ -29,10 +29,13 @@
         count: Int,
         first: Int = 0,
         configure: (StoreAccess) -> Unit = {},
-    ): List<Node> = List(count) { start("n${first + it}", incarnation = 100, configure) }
+    ): List<Node> = List(count) { start("n${first + it}", incarnation = 100, configure = configure) }
 
-    /** Starts a node whose id sorts behind those of the nodes before it. */
-    fun startMany(count: Int): List<Node> = List(count) { start("n%03d".format(100 + it), incarnation = 100) {} }
+    /** Starts nodes whose ids sort in the order of their start, by turns in [zones]. */
+    fun startMany(
+        count: Int,
+        zones: List<String> = listOf("a"),
+    ): List<Node> = List(count) { start("n%03d".format(100 + it), incarnation = 100, zone = zones[it % zones.size]) {} }
 
     /** Ends the process of [node] without a word and starts a new one. */
     fun restart(
@@ -41,7 +44,7 @@
         configure: (StoreAccess) -> Unit = {},
     ): Node {
         node.fleet.stop()
-        return start(node.id, incarnation, configure)
+        return start(node.id, incarnation, configure = configure)
     }
 
     fun publish(version: Long) = store.write(KeyedTopic.CONFIGURATION, "config", "$version".encodeToByteArray())
@@ -59,6 +62,7 @@
     private fun start(
         id: String,
         incarnation: Long,
+        zone: String = "a",
         configure: (StoreAccess) -> Unit,
     ): Node {
         val access = StoreAccess().apply(configure)
@@ -68,7 +72,7 @@
                 nodeId = id,
                 incarnation = incarnation,
                 state = MemberState.COLD,
-                zone = "a",
+                zone = zone,
                 region = "r",
                 controlAddress = id,
                 dataAddress = id,
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -249,6 +249,21 @@
         expectThat(left).all { get { fleet.foldState().version } isEqualTo 3 }
     }
 
+    /** Guards against a zone without a reader: its listeners depend on the other zones. */
+    @Test
+    fun `a zone that the store turns away as a whole gets the configuration from the other zones`() {
+        val nodes = sim.startMany(60, listOf("a", "b", "c"))
+        sim.publish(1)
+        sim.advance(20_000)
+        nodes.filterIndexed { index, _ -> index % 3 == 0 }.forEach { it.access.isRefusing = true }
+        listOf(100L, 20_000).forEachIndexed { index, pauseMs ->
+            sim.advance(pauseMs)
+            sim.publish(2L + index)
+            sim.advance(2_000)
+            expectThat(nodes).all { get { fleet.foldState().version } isEqualTo 2L + index }
+        }
+    }
+
     /** Guards against a record of another writer that stops a node. */
     @Test
     fun `unreadable records are passed over`() {
