--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/CallAges.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/CallAges.kt
@@ -7,7 +7,7 @@
  * back after a refusal states what is left, so the difference to the usual time is its age. Thread-safe.
  */
 class CallAges {
-    private val byRoute = HashMap<String, UsualTime>()
+    private val byRoute = RouteMap<UsualTime>()
 
     /** Returns the age in milliseconds of a request on [route] whose caller waits for another [statedMs]. */
     @Synchronized
@@ -15,7 +15,6 @@
         route: String,
         statedMs: Long,
     ): Long {
-        if (byRoute.size > MAX_ROUTES) byRoute.clear()
         val usual = byRoute.getOrPut(route) { UsualTime(statedMs) }
         usual.observe(statedMs)
         return if (usual.isNear(statedMs)) 0 else (usual.valueMs - statedMs).coerceAtLeast(0)
@@ -43,8 +42,5 @@
 
         // Bounds the number of requests after which a change of the usual time is followed.
         const val MAX_VOTES = 32
-
-        // Removed routes are not reported, so the table is emptied when it has grown past any usual number of routes.
-        const val MAX_ROUTES = 4_096
     }
 }
--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/ChildPressure.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/ChildPressure.kt
@@ -14,7 +14,7 @@
 class ChildPressure(
     private val settings: ChildPressureSettings = ChildPressureSettings(),
 ) {
-    private val byRoute = HashMap<String, RouteShare>()
+    private val byRoute = RouteMap<RouteShare>()
 
     /** A call that a running request of [route] made has ended; [refused] tells whether it was refused for load. */
     @Synchronized
@@ -23,7 +23,6 @@
         refused: Boolean,
         nowNanos: Long,
     ) {
-        if (byRoute.size > MAX_ROUTES) byRoute.clear()
         val share = byRoute.getOrPut(route) { RouteShare(nowNanos) }
         share.ended++
         if (refused) share.refused++
@@ -64,9 +63,4 @@
             reviewedNanos = nowNanos
         }
     }
-
-    private companion object {
-        // Removed routes are not reported, so the table is emptied when it has grown past any usual number of routes.
-        const val MAX_ROUTES = 4_096
-    }
 }
--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/DurationEstimates.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/DurationEstimates.kt
@@ -6,7 +6,7 @@
 internal class DurationEstimates(
     private val settings: SlotAdmissionSettings,
 ) {
-    private val byRoute = HashMap<String, Double>()
+    private val byRoute = RouteMap<Double>()
 
     /** Smoothed duration over all routes, in nanoseconds. */
     var meanNanos: Double = settings.firstEstimateMs * NANOS_PER_MILLI.toDouble()
@@ -25,16 +25,10 @@
         meanNanos = if (isEmpty) durationNanos else smooth(meanNanos, durationNanos)
         isEmpty = false
         byRoute[route] = byRoute[route]?.let { smooth(it, durationNanos) } ?: durationNanos
-        if (byRoute.size > MAX_ROUTES) byRoute.clear()
     }
 
     private fun smooth(
         lastNanos: Double,
         durationNanos: Double,
     ): Double = lastNanos + (durationNanos - lastNanos) * settings.smoothing
-
-    private companion object {
-        // Removed routes are not reported, so the table is emptied when it has grown past any usual number of routes.
-        const val MAX_ROUTES = 4_096
-    }
 }
--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/ExplainRequestCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/ExplainRequestCommand.kt
@@ -36,12 +36,8 @@
     override fun call(): Int {
         val explanation = RequestExplanation(id, files.flatMap(::linesOf))
         val out = spec.commandLine().out
-        if (!explanation.isFound) {
-            out.println(
-                "no line names request $id: it ended with a success on the first target, or its log is not given",
-            )
-        }
-        if (explanation.isFound) explanation.text().forEach(out::println)
+        val text = if (explanation.isFound) explanation.text() else listOf("no line names request $id: $NOT_FOUND_REASON")
+        text.forEach(out::println)
         out.flush()
         return if (explanation.isFound) ExitCode.OK else ExitCode.FAILED
     }
@@ -51,4 +47,8 @@
         val process = file.fileName.toString().substringBeforeLast('.')
         return Files.newBufferedReader(file).useLines { lines -> lines.mapNotNull { LogLine.parse(it, process) }.toList() }
     }
+
+    private companion object {
+        const val NOT_FOUND_REASON = "it ended with a success on the first target, or its log is not given"
+    }
 }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/DirectoryReader.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/DirectoryReader.kt
@@ -4,6 +4,7 @@
 import dev.lycheehill.core.time.Subscription
 import dev.lycheehill.core.time.TimerService
 import dev.lycheehill.platformlog.Backoff
+import dev.lycheehill.platformlog.keyed.CallStreak
 import dev.lycheehill.platformlog.keyed.KeyedRecord
 import dev.lycheehill.platformlog.keyed.KeyedStore
 import dev.lycheehill.platformlog.keyed.KeyedTopic
@@ -21,10 +22,9 @@
     private val onRead: () -> Unit,
     private val onLink: (StoreError?) -> Unit,
 ) {
-    private val backoff = Backoff(random, capMs = settings.retryMs)
+    private val calls = CallStreak(Backoff(random, capMs = settings.retryMs))
     private var reading = false
     private var readAgain = false
-    private var failures = 0
     private var stopped = false
     private var next: Subscription? = null
 
@@ -33,7 +33,7 @@
         private set
 
     /** Whether the last call failed. */
-    val isLost: Boolean get() = failures > 0
+    val isLost: Boolean get() = calls.isLost
 
     /** Reads all records now, or once more after the reading in progress. */
     fun read() {
@@ -57,8 +57,7 @@
 
     private fun received(result: Either<StoreError, NewestPage>) =
         result.fold(::failed) { page ->
-            if (failures > 0) onLink(null)
-            failures = 0
+            if (calls.succeeded() > 0) onLink(null)
             page.records.forEach(onRecord)
             if (page.hasMore && page.records.isNotEmpty()) readPage(page.records.last().key) else finished()
         }
@@ -76,9 +75,8 @@
     }
 
     private fun failed(error: StoreError) {
-        if (failures == 0) onLink(error)
-        failures++
-        timers.after(backoff.delayMs(failures)) { if (!stopped) start() }
+        if (!calls.isLost) onLink(error)
+        timers.after(calls.failed()) { if (!stopped) start() }
     }
 
     // Readings of many nodes are spread over the period.
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/PeerChannel.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/PeerChannel.kt
@@ -8,9 +8,9 @@
     /** Answers the requests of other nodes. */
     var onRequest: (SyncRequest) -> SyncReply
 
-    /** Sends [beacon] to the node at [address], written as `ip:port`. */
+    /** Sends [beacon] to the nodes at [addresses], written as `ip:port`. */
     fun send(
-        address: String,
+        addresses: List<String>,
         beacon: Beacon,
     )
 
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublication.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublication.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.core.time.TimerService
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.platformlog.Backoff
+import dev.lycheehill.platformlog.keyed.CallStreak
 import dev.lycheehill.platformlog.keyed.KeyedStore
 import dev.lycheehill.platformlog.keyed.KeyedTopic
 import dev.lycheehill.platformlog.keyed.StoreError
@@ -21,10 +22,9 @@
     random: Random,
     private val onChange: (FleetChange) -> Unit,
 ) {
-    private val backoff = Backoff(random, capMs = settings.retryMs)
+    private val calls = CallStreak(Backoff(random, capMs = settings.retryMs))
     private var wanted: MemberRecord? = null
     private var writing = false
-    private var failures = 0
     private var listener: () -> Unit = {}
 
     /** Writes [record] and forgets an older one that is not written yet. [onWritten] is called after the next write. */
@@ -45,8 +45,8 @@
     }
 
     private fun written(record: MemberRecord) {
+        val failures = calls.succeeded()
         if (failures > 0) onChange(FleetChange.RecordWritten(record.incarnation, failures))
-        failures = 0
         writing = false
         listener()
         listener = {}
@@ -55,8 +55,7 @@
     }
 
     private fun failed(error: StoreError) {
-        if (failures == 0) onChange(FleetChange.RecordNotWritten(error.reason))
-        failures++
-        timers.after(backoff.delayMs(failures)) { wanted?.let(::write) }
+        if (!calls.isLost) onChange(FleetChange.RecordNotWritten(error.reason))
+        timers.after(calls.failed()) { wanted?.let(::write) }
     }
 }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -109,23 +109,23 @@
         tellAll()
     }
 
-    private fun tellAll() {
-        val beacon = beacon(self)
-        members.peers().forEach { peers.send(it.controlAddress, beacon) }
-    }
+    private fun tellAll() = tell(members.peers(), beacon(self))
 
     private fun tellNewVersion() {
-        val beacon = beacon(record = null)
         val receivers = if (members.role() == ReaderRole.LOOKOUT) members.peers() else members.listenersInZone()
-        receivers.forEach { peers.send(it.controlAddress, beacon) }
+        tell(receivers, beacon(record = null))
     }
 
     private fun tick() {
         members.review()
-        val beacon = beacon(self.takeIf { members.hasChangedRecently })
-        beacons.next(members.peers()).forEach { peers.send(it.controlAddress, beacon) }
+        tell(beacons.next(members.peers()), beacon(self.takeIf { members.hasChangedRecently }))
     }
 
+    private fun tell(
+        receivers: List<MemberRecord>,
+        beacon: Beacon,
+    ) = peers.send(receivers.map { it.controlAddress }, beacon)
+
     private fun beacon(record: MemberRecord?) = Beacon(self.nodeId, self.incarnation, state.version, members.hash(), record)
 
     private fun beaconReceived(beacon: Beacon) {
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetSim.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetSim.kt
@@ -98,9 +98,9 @@
         override var onRequest: (SyncRequest) -> SyncReply = { SyncReply(0, null, emptyList()) }
 
         override fun send(
-            address: String,
+            addresses: List<String>,
             beacon: Beacon,
-        ) {
+        ) = addresses.forEach { address ->
             timers.after(DELAY_MS) { if (isOpen(address)) channels[address]?.onBeacon?.invoke(beacon) }
         }
 
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -63,18 +63,13 @@
     @Test
     fun `three seconds after a silence of the store a configuration is in force within two seconds`() {
         val late =
-            (1L..60L).filter { seed ->
-                val sim = StoreFleetSim(seed)
-                val nodes = sim.start(13)
-                sim.publish(1)
-                sim.advance(5_000 + seed * 100)
+            seedsLateFor(version = 2) { _, sim, nodes ->
                 nodes.forEach { it.access.isSilent = true }
                 sim.advance(4_000)
                 nodes.forEach { it.access.isSilent = false }
                 sim.advance(3_000)
                 sim.publish(2)
                 sim.advance(2_000)
-                nodes.any { it.fleet.foldState().version != 2L }
             }
         expectThat(late).describedAs("seeds with a node that is late").isEmpty()
     }
@@ -83,11 +78,7 @@
     @Test
     fun `a configuration that is written in a silence of the store is in force three seconds after it`() {
         val late =
-            (1L..60L).filter { seed ->
-                val sim = StoreFleetSim(seed)
-                val nodes = sim.start(13)
-                sim.publish(1)
-                sim.advance(5_000 + seed * 100)
+            seedsLateFor(version = 3) { seed, sim, nodes ->
                 sim.publish(2)
                 sim.advance(seed * 20)
                 nodes.forEach { it.access.isSilent = true }
@@ -96,7 +87,6 @@
                 sim.advance(seed * 2)
                 nodes.forEach { it.access.isSilent = false }
                 sim.advance(3_000)
-                nodes.any { it.fleet.foldState().version != 3L }
             }
         expectThat(late).describedAs("seeds with a node that is late").isEmpty()
     }
@@ -283,4 +273,18 @@
         expectThat(nodes).all { get { fleet.foldState().version } isEqualTo 3 }
         expectThat(nodes[0].fleet.members().containsKey("n9")).isFalse()
     }
+
+    /** Returns the seeds of 60 fleets that do not all have [version] after [play], which begins at a time that differs by seed. */
+    private fun seedsLateFor(
+        version: Long,
+        play: (seed: Long, sim: StoreFleetSim, nodes: List<StoreFleetSim.Node>) -> Unit,
+    ): List<Long> =
+        (1L..60L).filter { seed ->
+            val sim = StoreFleetSim(seed)
+            val nodes = sim.start(13)
+            sim.publish(1)
+            sim.advance(5_000 + seed * 100)
+            play(seed, sim, nodes)
+            nodes.any { it.fleet.foldState().version != version }
+        }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.node.peer
 
+import arrow.core.Either
 import dev.lycheehill.calls.quarantine.CrashEvidence
 import dev.lycheehill.calls.quarantine.SuccessEvidence
 import dev.lycheehill.fleet.store.Beacon
@@ -16,6 +17,7 @@
 import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.quarantine.EvidenceChannel
 import dev.lycheehill.node.settings.HostPort
+import dev.lycheehill.node.upstream.socketAddressOf
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBufUtil
@@ -30,9 +32,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
-import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
 /**
@@ -85,11 +85,9 @@
     }
 
     override fun send(
-        address: String,
+        addresses: List<String>,
         beacon: Beacon,
-    ) {
-        send(address, PeerDatagram(beacon = beacon))
-    }
+    ) = send(addresses, PeerDatagram(beacon = beacon))
 
     override fun send(evidence: CrashEvidence) = broadcast(PeerDatagram(crash = evidence))
 
@@ -98,16 +96,19 @@
     // Datagrams may be lost, and evidence that arrives twice counts once.
     private fun broadcast(message: PeerDatagram) {
         for (repetition in 0 until EVIDENCE_COPIES) {
-            eventLoop.schedule({ addresses().forEach { send(it, message) } }, repetition * COPY_PAUSE_MS, TimeUnit.MILLISECONDS)
+            eventLoop.schedule({ send(addresses(), message) }, repetition * COPY_PAUSE_MS, TimeUnit.MILLISECONDS)
         }
     }
 
     private fun send(
-        address: String,
+        addresses: List<String>,
         message: PeerDatagram,
     ) {
-        val bytes = Unpooled.wrappedBuffer(cbor.encodeToByteArray(PeerDatagram.serializer(), message))
-        datagrams.writeAndFlush(DatagramPacket(bytes, socketAddress(address)), datagrams.voidPromise())
+        if (addresses.isEmpty()) return
+        val bytes = cbor.encodeToByteArray(PeerDatagram.serializer(), message)
+        for (address in addresses) {
+            datagrams.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), socketAddressOf(address)), datagrams.voidPromise())
+        }
     }
 
     override fun ask(
@@ -137,30 +138,13 @@
         source: String,
         decoder: (ByteArray) -> T,
     ): T? =
-        try {
-            decoder(bytes)
-        } catch (e: SerializationException) {
-            unreadable(source, e)
-        } catch (e: IllegalArgumentException) {
-            unreadable(source, e)
-        } catch (e: IllegalStateException) {
-            // The decoder's word for bytes that end early.
-            unreadable(source, e)
-        }
-
-    private fun unreadable(
-        source: String,
-        cause: Exception,
-    ): Nothing? {
-        log.warn { "unreadable message from $source: ${cause.message}" }
-        return null
-    }
+        Either
+            .catch { decoder(bytes) }
+            .onLeft { log.warn { "unreadable message from $source: ${it.message}" } }
+            .getOrNull()
 
     private fun datagram(bytes: ByteArray): PeerDatagram = cbor.decodeFromByteArray(PeerDatagram.serializer(), bytes)
 
-    private fun socketAddress(address: String) =
-        InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
-
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(
             ctx: ChannelHandlerContext,
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.node.program
 
+import dev.lycheehill.core.time.NANOS_PER_MILLI
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.fleet.store.ConfigurationDecoder
@@ -200,7 +201,6 @@
 
     private companion object {
         val log = KotlinLogging.logger {}
-        const val NANOS_PER_MILLI = 1_000_000L
 
         // Above any idle time that an operator's configuration lets callers use.
         const val CALLER_IDLE_MS = 300_000L
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/Upstreams.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/Upstreams.kt
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.handler.codec.http.HttpClientCodec
 import jdk.net.ExtendedSocketOptions
-import java.net.InetSocketAddress
 
 /** Connection pools of one event loop by address of the peer. Used on that event loop only. */
 internal class Upstreams(
@@ -47,7 +46,7 @@
     private fun newPool(address: String) =
         ConnectionPool(
             eventLoop = eventLoop,
-            address = InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt()),
+            address = socketAddressOf(address),
             bootstrap = bootstrap,
             idleReuseNanos = settings.idleReuseMs * 1_000_000,
             maxConnections = settings.maxConnectionsPerPeer,
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
@@ -24,9 +24,8 @@
     private val onRecord: (KeyedRecord) -> Unit,
     private val onLink: (StoreError?) -> Unit,
 ) {
-    private val backoff = Backoff(random, settings.firstBackoffMs, settings.maxBackoffMs)
+    private val calls = CallStreak(Backoff(random, settings.firstBackoffMs, settings.maxBackoffMs))
     private var nextOffset = 0L
-    private var failures = 0
     private var stopped = false
 
     /** Whether the newest records have been read once. */
@@ -34,7 +33,7 @@
         private set
 
     /** Whether the last call failed. */
-    val isLost: Boolean get() = failures > 0
+    val isLost: Boolean get() = calls.isLost
 
     /** Whether new records have just been read, so that those that follow are read soon. */
     var isPausing = false
@@ -114,8 +113,7 @@
     ) {
         if (stopped) return
         result.fold({ failed(it, again) }) {
-            if (failures > 0) onLink(null)
-            failures = 0
+            if (calls.succeeded() > 0) onLink(null)
             use(it)
         }
     }
@@ -128,9 +126,8 @@
             readNewest(after = null, endOffset = null)
             return
         }
-        if (failures == 0) onLink(error)
-        failures++
-        later(backoff.delayMs(failures), again)
+        if (!calls.isLost) onLink(error)
+        later(calls.failed(), again)
     }
 
     private fun later(
