Begin reads anew that hang since a silence of the store, when another node has found it again

Cause: a long read that begins in a silence of the store is never answered and ends only after up to 16.2 s. Change: a node whose calls had been without an answer says in its beacons for 5 s that the store is back, to the readers at once; a read that began before that is given up for a new one, once a second at most. Before: StoreFleetTest 'a configuration arrives in time when the lookout is turned away soon after a silence' red. After: green.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/Beacon.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/Beacon.kt
@@ -10,6 +10,7 @@
  * @property incarnation newest incarnation of the sender's record.
  * @property version configuration in force at the sender.
  * @property tableHash hash over the sender's member records.
+ * @property storeBackMs time since the sender found the store again that had been silent; null when that was long ago.
  * @property record the sender's record, when it has changed or the receiver may not have it.
  */
 @Serializable
@@ -19,4 +20,5 @@
     @SerialName("v") val version: Long,
     @SerialName("h") val tableHash: Int,
     @SerialName("r") val record: MemberRecord? = null,
+    @SerialName("s") val storeBackMs: Long? = null,
 )
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
@@ -109,6 +109,13 @@
             .sortedBy { it.nodeId }
             .drop(settings.readersPerZone - 1)
 
+    /** Other members that read the configuration at the store. */
+    fun otherReaders(): List<MemberRecord> =
+        peers()
+            .groupBy { it.zone }
+            .values
+            .flatMap { zone -> zone.sortedBy { it.nodeId }.take(settings.readersPerZone) }
+
     /** A member that is heard and has a configuration above [version], of this node's zone if there is one. */
     fun sourceAbove(
         version: Long,
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -45,7 +45,7 @@
     private val beacons = BeaconSchedule(settings, random)
     private val configurations =
         TopicFollower(store, KeyedTopic.CONFIGURATION, timers, settings.follower, random, members::role, ::configurationRead) {
-            linkChanged(KeyedTopic.CONFIGURATION, it)
+            configurationLinkChanged(it)
         }
     private val directory =
         DirectoryReader(store, timers, settings, random, ::recordRead, ::tellAll) { linkChanged(KeyedTopic.MEMBERS, it) }
@@ -53,6 +53,10 @@
     private var syncing = false
     private var tableAskedAtMs = timers.nowMs()
 
+    // Whether calls to the store are without an answer, and when they were answered again.
+    private var storeIsSilent = false
+    private var storeBackAtMs: Long? = null
+
     @Volatile
     private var state = FoldState.initial()
 
@@ -126,11 +130,15 @@
         beacon: Beacon,
     ) = peers.send(receivers.map { it.controlAddress }, beacon)
 
-    private fun beacon(record: MemberRecord?) = Beacon(self.nodeId, self.incarnation, state.version, members.hash(), record)
+    private fun beacon(record: MemberRecord?) =
+        Beacon(self.nodeId, self.incarnation, state.version, members.hash(), record, storeBackMs())
+
+    private fun storeBackMs(): Long? = storeBackAtMs?.let { timers.nowMs() - it }?.takeIf { it < settings.repeatRecordMs }
 
     private fun beaconReceived(beacon: Beacon) {
         if (beacon.nodeId == self.nodeId) return
         beacon.record?.let(::merge)
+        beacon.storeBackMs?.let(configurations::storeWasBack)
         members.heard(beacon.nodeId, beacon.version)
         // A sender that is not known has read this node's record and sends its own when it has written it.
         val sender = members.find(beacon.nodeId) ?: return
@@ -218,6 +226,16 @@
         }
     }
 
+    // Reads of other nodes that began in a silence are never answered, and these nodes cannot know it.
+    private fun configurationLinkChanged(error: StoreError?) {
+        linkChanged(KeyedTopic.CONFIGURATION, error)
+        if (error == null && storeIsSilent) {
+            storeBackAtMs = timers.nowMs()
+            tell(members.otherReaders(), beacon(record = null))
+        }
+        storeIsSilent = error is StoreError.Unknown
+    }
+
     private fun linkChanged(
         topic: KeyedTopic,
         error: StoreError?,
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -91,6 +91,25 @@
         expectThat(late).describedAs("seeds with a node that is late").isEmpty()
     }
 
+    /** Guards against reads that hang since a silence while the one node that has found the store again is turned away. */
+    @Test
+    fun `a configuration arrives in time when the lookout is turned away soon after a silence`() {
+        val late =
+            seedsLateFor(version = 3) { seed, sim, nodes ->
+                sim.publish(2)
+                sim.advance(seed * 20)
+                nodes.forEach { it.access.isSilent = true }
+                sim.advance(4_200)
+                nodes.forEach { it.access.isSilent = false }
+                sim.advance(4_000)
+                nodes.take(3).forEach { it.access.isRefusing = true }
+                sim.advance(1_000)
+                sim.publish(3)
+                sim.advance(2_000)
+            }
+        expectThat(late).describedAs("seeds with a node that is late").isEmpty()
+    }
+
     /** Guards against a restart while the store is away: the others remember the node and send it beacons. */
     @Test
     fun `a node that starts while the store turns it away is found by the others`() {
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/FollowerSettings.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/FollowerSettings.kt
@@ -10,6 +10,8 @@
  *   loss of a reader must be made good.
  * @property pauseMs pause after new records, so that changes in quick succession cost one read; a part of the 2 s in
  *   which a configuration must be in force.
+ * @property readAgainPauseMs shortest time between two reads that are begun because other nodes found the store again; they
+ *   find it within about a second of each other.
  * @property firstBackoffMs longest pause after the first failed call.
  * @property maxBackoffMs longest pause between failed calls; entries must be back 2 s after the store is.
  */
@@ -18,6 +20,7 @@
     val lookoutWaitMs: Long = 1_000,
     val roleReviewMs: Long = 1_000,
     val pauseMs: Long = 900,
+    val readAgainPauseMs: Long = 1_000,
     val firstBackoffMs: Long = 100,
     val maxBackoffMs: Long = 700,
 )
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import dev.lycheehill.core.time.TimerService
+import dev.lycheehill.core.time.nowMs
 import dev.lycheehill.platformlog.Backoff
 import kotlin.random.Random
 
@@ -28,6 +29,11 @@
     private var nextOffset = 0L
     private var stopped = false
 
+    // The read that is in progress: its number, and when it began.
+    private var readNumber = 0
+    private var readBegunAtMs: Long? = null
+    private var readAgainAtMs = timers.nowMs() - settings.readAgainPauseMs
+
     /** Whether the newest records have been read once. */
     var isCaughtUp = false
         private set
@@ -47,6 +53,18 @@
         stopped = true
     }
 
+    /**
+     * Another node has found a silent store again [agoMs] ago. A read that began before that may never be answered, so it
+     * is given up for a new one.
+     */
+    fun storeWasBack(agoMs: Long) {
+        val now = timers.nowMs()
+        val begunAtMs = readBegunAtMs ?: return
+        if (stopped || begunAtMs >= now - agoMs || now - readAgainAtMs < settings.readAgainPauseMs) return
+        readAgainAtMs = now
+        read()
+    }
+
     private fun readNewest(
         after: String?,
         endOffset: Long?,
@@ -81,8 +99,13 @@
         later(settings.roleReviewMs) { if (role() == ReaderRole.LISTENER) listen() else readNewest(after = null, endOffset = null) }
 
     private fun readOn() {
+        val number = ++readNumber
+        readBegunAtMs = timers.nowMs()
         store.read(topic, nextOffset, waitMs()) { result ->
-            received(result, ::read, ::recordsRead)
+            if (number == readNumber) {
+                readBegunAtMs = null
+                received(result, ::read, ::recordsRead)
+            }
         }
     }
 
