Admit what reaches its caller in time, keep child calls waiting, and tell refused callers a time at which they may be served

Ruled out: slots that stand free (queues were full on all targets), a wrong mean duration. Change: the end of a run must leave the time of the answer's way and of the spread of durations; a child call may wait for a share of its parent's time; the hint grows with the share of calls that is refused now.

--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmission.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmission.kt
@@ -9,6 +9,8 @@
  * to end in time, so the queue never holds work that is worth nothing when it is done. What cannot end in time is refused
  * on arrival, as long as another target can still take it.
  *
+ * A child call may take a share of its parent's time instead, since the work of its parent is lost without it.
+ *
  * Priority decides, then whether a running call waits for the call, as its parent holds a slot elsewhere, then the order
  * of arrival. Calls that can only be answered late run when nothing else waits.
  *
@@ -21,6 +23,7 @@
     private var running = 0
     private val queue = UrgencyQueue()
     private val durations = DurationEstimates(settings)
+    private val refusals = RefusalShare(settings)
 
     override val inFlight: Int get() = synchronized(this) { running }
 
@@ -32,11 +35,14 @@
     ): AdmissionResult =
         synchronized(this) {
             check(call.state == AdmissionState.NEW) { "a call is offered once" }
-            when {
-                call.deadline.isExpired(nowNanos) -> reject(call, RejectReason.DEADLINE, 0.0)
-                running < slots && queue.size == 0 -> admit(call, nowNanos)
-                else -> enqueue(call, nowNanos)
-            }
+            val result =
+                when {
+                    call.deadline.isExpired(nowNanos) -> reject(call, RejectReason.DEADLINE, 0.0)
+                    running < slots && queue.size == 0 -> admit(call, nowNanos)
+                    else -> enqueue(call, nowNanos)
+                }
+            refusals.add(result is AdmissionResult.Rejected)
+            result
         }
 
     override fun onFinish(
@@ -92,7 +98,7 @@
     ): AdmissionResult {
         val expectedNanos = durations.of(call.route)
         val waitNanos = waitNanos(queue.ahead(call, late = false) { durations.of(it.route) })
-        val inTime = nowNanos + (waitNanos + expectedNanos * (1 + settings.marginShare)).toLong() - call.aim.atNanos <= 0
+        val inTime = nowNanos + (waitNanos + expectedNanos * (1 + settings.marginShare)).toLong() - dueNanos(call, nowNanos) <= 0
         if (!inTime && !call.acceptsLate) return reject(call, RejectReason.QUEUE_TIME, waitNanos)
         call.late = !inTime
         if (call.late) {
@@ -108,6 +114,17 @@
         return AdmissionResult.Queued
     }
 
+    /** Time at which [call] must end to be worth its slot. */
+    private fun dueNanos(
+        call: AdmissionCall,
+        nowNanos: Long,
+    ): Long =
+        if (call.isChild) {
+            nowNanos + (call.deadline.remainingNanos(nowNanos) * settings.childShare).toLong()
+        } else {
+            call.aim.atNanos - settings.returnMs * NANOS_PER_MILLI
+        }
+
     /** Time until [aheadNanos] of work is done, from the mean time in which the next slot becomes free. */
     private fun waitNanos(aheadNanos: Double): Double = (aheadNanos + durations.meanNanos * 0.5) / slots
 
@@ -156,7 +173,7 @@
         return when {
             call.deadline.remainingNanos(nowNanos) < expectedNanos * settings.leastShare -> RejectReason.DEADLINE
             call.late && nowNanos - call.queuedAtNanos > settings.lateWaitMs * NANOS_PER_MILLI -> RejectReason.QUEUE_TIME
-            !call.acceptsLate && call.aim.remainingNanos(nowNanos) < expectedNanos -> RejectReason.QUEUE_TIME
+            !call.acceptsLate && !call.isChild && call.aim.remainingNanos(nowNanos) < expectedNanos -> RejectReason.QUEUE_TIME
             else -> null
         }
     }
@@ -167,7 +184,6 @@
         waitNanos: Double,
     ): AdmissionResult.Rejected {
         call.state = AdmissionState.DONE
-        val waitMs = (waitNanos / NANOS_PER_MILLI).toLong()
-        return AdmissionResult.Rejected(reason, waitMs.coerceIn(settings.minRetryAfterMs, settings.maxRetryAfterMs))
+        return AdmissionResult.Rejected(reason, refusals.retryAfterMs((waitNanos / NANOS_PER_MILLI).toLong()))
     }
 }
--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmissionSettings.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmissionSettings.kt
@@ -7,6 +7,9 @@
  * @property firstEstimateMs duration of a call of which none has ended yet, in the middle of the durations of the sites.
  * @property smoothing weight of the newest duration in an estimate; 0.1 follows a change within about 20 calls.
  * @property marginShare share of the usual duration that is left between the expected end and the aim, as durations vary.
+ * @property returnMs time from the end of a run until the caller has the answer: 3 ms to a caller, two nodes on the way.
+ * @property childShare share of the time left that the wait and the run of a child call may take; its parent needs the rest.
+ * @property refusalSmoothing weight of the newest call in the share of refused calls; 0.02 follows a crest within 50 calls.
  * @property lateShare share of the time left that the wait and the run of a late call may take, as the estimate is a mean.
  * @property lateWaitMs longest wait of a late call, which other calls overtake; then it is refused and may come back.
  * @property leastShare share of the usual duration that must be left for a queued call to be started.
@@ -17,7 +20,10 @@
     val slots: Int = 1,
     val firstEstimateMs: Long = 50,
     val smoothing: Double = 0.1,
-    val marginShare: Double = 0.4,
+    val marginShare: Double = 0.7,
+    val returnMs: Long = 12,
+    val childShare: Double = 0.7,
+    val refusalSmoothing: Double = 0.02,
     val lateShare: Double = 0.7,
     val lateWaitMs: Long = 25,
     val leastShare: Double = 0.5,
--- a/calls/src/test/kotlin/dev/lycheehill/calls/admission/SlotAdmissionTest.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/admission/SlotAdmissionTest.kt
@@ -113,6 +113,37 @@
         expectThat(outcome.longestHeldBeforeRefusalMs).isLessThan(200)
     }
 
+    /** Guards against answers that are in time at the target's node and late at the caller. */
+    @Test
+    fun `in overload the answers of admitted calls reach their callers within the aim`() {
+        val load = SlotLoad(slots = 9, runMs = 60, aimMs = 200, callsPerSecond = 400, seed = 20261204, returnMs = 12)
+        val outcome = load.run(20_000)
+        println("seed=20261204 $outcome")
+        expectThat(outcome.inTime.toDouble() / outcome.finished).isGreaterThan(0.95)
+        expectThat(outcome.finished.toDouble() / load.capacity(20_000)).isGreaterThan(0.9)
+    }
+
+    /** Guards against hints after which the callers come back to the same crowd. */
+    @Test
+    fun `in overload few callers come back and are refused again`() {
+        val load = SlotLoad(slots = 9, runMs = 60, aimMs = 200, callsPerSecond = 400, seed = 20261204, comesBack = true, deadlineMs = 500)
+        val outcome = load.run(20_000)
+        println("seed=20261204 $outcome")
+        expectThat(outcome.refused).isGreaterThan(1_000)
+        expectThat(outcome.refusedAgain.toDouble() / outcome.refused).isLessThan(0.1)
+    }
+
+    /** Guards against a running call that is lost because one of its calls had to wait for a moment. */
+    @Test
+    fun `a child call waits beyond its aim while the time of its parent allows it`() {
+        fill()
+        repeat(4) { admission.offer(call("ahead-$it"), 0) }
+        val child = call("child", aimMs = 150, deadlineMs = 800, acceptsLate = false, isChild = true)
+        expectThat(admission.offer(child, 0)) isEqualTo AdmissionResult.Queued
+        val hopeless = call("hopeless", aimMs = 150, deadlineMs = 160, acceptsLate = false, isChild = true)
+        expectThat(admission.offer(hopeless, 0)).isA<AdmissionResult.Rejected>()
+    }
+
     /** Guards against a queued call that is started when it cannot be answered any more. */
     @Test
     fun `a tick drops what has waited too long`() {
--- a/calls/src/test/kotlin/dev/lycheehill/calls/admission/SlotLoad.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/admission/SlotLoad.kt
@@ -5,13 +5,21 @@
 import java.util.PriorityQueue
 import java.util.SplittableRandom
 
-/** Plays a load of random arrivals on a [SlotAdmission] in simulated time. */
+/**
+ * Plays a load of random arrivals on a [SlotAdmission] in simulated time.
+ *
+ * @param returnMs time from the end of a run until the caller has the answer.
+ * @param comesBack whether a refused caller comes back once, if it is told to within a third of the time that it has left.
+ */
 internal class SlotLoad(
     private val slots: Int,
     private val runMs: Long,
     private val aimMs: Long,
     private val callsPerSecond: Int,
     seed: Long,
+    private val returnMs: Long = 0,
+    private val comesBack: Boolean = false,
+    private val deadlineMs: Long = 10 * aimMs,
 ) {
     private val random = SplittableRandom(seed)
     private val admission = SlotAdmission(SlotAdmissionSettings(slots = slots, firstEstimateMs = runMs))
@@ -26,7 +34,7 @@
         while (arrivalNanos < durationMs * NANOS_PER_MILLI) {
             arrivalNanos += (-Math.log(1 - random.nextDouble()) * 1e9 / callsPerSecond).toLong()
             val at = arrivalNanos
-            events.add(Event(at) { arrive(at) })
+            events.add(Event(at) { arrive(at, at) })
         }
         for (tickMs in 0 until durationMs step 10) {
             events.add(
@@ -37,19 +45,40 @@
         return outcome
     }
 
-    private fun arrive(nowNanos: Long) {
+    private fun arrive(
+        nowNanos: Long,
+        firstNanos: Long,
+    ) {
         val call =
             AdmissionCall(
                 route = "r",
                 priority = CallPriority.NORMAL,
                 cost = CallCost.LEARNED,
                 sizeBytes = 0,
-                deadline = Deadline.after(10 * aimMs, nowNanos),
-                listener = Listener(nowNanos),
-                aim = Deadline.after(aimMs, nowNanos),
+                deadline = Deadline.after(deadlineMs, firstNanos),
+                listener = Listener(nowNanos, firstNanos),
+                aim = Deadline.after(aimMs, firstNanos),
                 acceptsLate = false,
             )
-        if (admission.offer(call, nowNanos) == AdmissionResult.Admitted) start(call, nowNanos, nowNanos)
+        when (val result = admission.offer(call, nowNanos)) {
+            is AdmissionResult.Admitted -> start(call, firstNanos, nowNanos)
+            is AdmissionResult.Rejected -> refused(result, nowNanos, firstNanos)
+            is AdmissionResult.Queued -> Unit
+        }
+    }
+
+    private fun refused(
+        rejection: AdmissionResult.Rejected,
+        nowNanos: Long,
+        firstNanos: Long,
+    ) {
+        if (nowNanos != firstNanos) {
+            outcome.refusedAgain++
+            return
+        }
+        outcome.refused++
+        val backNanos = nowNanos + rejection.retryAfterMs * NANOS_PER_MILLI
+        if (comesBack && rejection.retryAfterMs <= deadlineMs / 3) events.add(Event(backNanos) { arrive(backNanos, firstNanos) })
     }
 
     private fun start(
@@ -61,7 +90,7 @@
         events.add(
             Event(endNanos) {
                 outcome.finished++
-                if (endNanos - arrivedNanos <= aimMs * NANOS_PER_MILLI) outcome.inTime++
+                if (endNanos - arrivedNanos <= (aimMs - returnMs) * NANOS_PER_MILLI) outcome.inTime++
                 admission.onFinish(call, endNanos, succeeded = true)
             },
         )
@@ -69,21 +98,20 @@
 
     private inner class Listener(
         private val arrivedNanos: Long,
+        private val firstNanos: Long,
     ) : AdmissionListener {
         override fun onStart(
             call: AdmissionCall,
             nowNanos: Long,
-        ) = start(call, arrivedNanos, nowNanos)
+        ) = start(call, firstNanos, nowNanos)
 
         override fun onDropped(
             call: AdmissionCall,
             rejection: AdmissionResult.Rejected,
         ) {
-            val heldMs = (call.deadline.atNanos / NANOS_PER_MILLI - 10 * aimMs).let { arrived -> lastNowMs() - arrived }
-            outcome.longestHeldBeforeRefusalMs = maxOf(outcome.longestHeldBeforeRefusalMs, heldMs)
+            outcome.longestHeldBeforeRefusalMs =
+                maxOf(outcome.longestHeldBeforeRefusalMs, (currentNanos - arrivedNanos) / NANOS_PER_MILLI)
         }
-
-        private fun lastNowMs(): Long = currentNanos / NANOS_PER_MILLI
     }
 
     private var currentNanos = 0L
--- a/calls/src/test/kotlin/dev/lycheehill/calls/admission/SlotLoadOutcome.kt
+++ b/calls/src/test/kotlin/dev/lycheehill/calls/admission/SlotLoadOutcome.kt
@@ -4,5 +4,7 @@
 internal data class SlotLoadOutcome(
     var finished: Int = 0,
     var inTime: Int = 0,
+    var refused: Int = 0,
+    var refusedAgain: Int = 0,
     var longestHeldBeforeRefusalMs: Long = 0,
 )
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/BeaconSchedule.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/BeaconSchedule.kt
@@ -12,7 +12,7 @@
 
     /** Returns the receivers among [peers], which keep their order from one period to the next. */
     fun next(peers: List<MemberRecord>): List<MemberRecord> {
-        if (peers.size <= settings.beaconFanout) return peers
+        if (peers.size <= settings.allPeers) return peers
         val start = position % peers.size
         position = start + settings.beaconFanout
         return List(settings.beaconFanout) { peers[(start + it) % peers.size] }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
@@ -153,7 +153,7 @@
     }
 
     // Beacons go to a part of a large fleet in each period.
-    private fun periods(peers: Int): Int = 1 + (peers - 1).coerceAtLeast(0) / settings.beaconFanout
+    private fun periods(peers: Int): Int = if (peers <= settings.allPeers) 1 else 1 + (peers - 1) / settings.beaconFanout
 
     private fun replaceSelf(next: MemberRecord) {
         self = next
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -51,6 +51,9 @@
         DirectoryReader(store, timers, settings, random, ::recordRead, ::tellAll) { linkChanged(KeyedTopic.MEMBERS, it) }
     private var subscription: Subscription? = null
     private var syncing = false
+
+    // Whether a change of this node's record is told once more in the next period, as single datagrams are lost.
+    private var tellAgain = false
     private var tableAskedAtMs = timers.nowMs()
 
     // Whether calls to the store are without an answer, and when they were answered again.
@@ -112,6 +115,7 @@
     private fun publishSelf() {
         if (self.state == MemberState.GONE) publication.publish(self)
         tellAll()
+        tellAgain = true
     }
 
     private fun tellAll() = tell(members.peers(), beacon(self))
@@ -123,6 +127,8 @@
 
     private fun tick() {
         members.review()
+        if (tellAgain) tellAll()
+        tellAgain = false
         tell(beacons.next(members.peers()), beacon(self.takeIf { members.hasChangedRecently }))
     }
 
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetSettings.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetSettings.kt
@@ -6,7 +6,10 @@
  * Settings of a [StoreFleet].
  *
  * @property beaconMs period of the beacons; a part of the 3 s after which a node counts as out of touch.
- * @property beaconFanout nodes that get a beacon in one period, by turns; bounds the cost in a large fleet.
+ * @property allPeers size of a fleet up to which all other nodes get a beacon in each period, so that a silent one is soon
+ *   suspected.
+ * @property beaconFanout nodes that get a beacon in one period in a larger fleet, by turns. A node then hears as many, which
+ *   leaves less than one in a hundred without a beacon in a second; a beacon costs as much as a tenth of a call.
  * @property suspectAfterMs silence after which a node that gets a beacon each period is suspected.
  * @property repeatRecordMs time for which beacons carry a record that has changed, as single ones may be lost.
  * @property syncDelayMs time for which a node that reaches the store waits for it before it asks another node.
@@ -19,7 +22,8 @@
  */
 data class StoreFleetSettings(
     val beaconMs: Long = 1_000,
-    val beaconFanout: Int = 16,
+    val allPeers: Int = 16,
+    val beaconFanout: Int = 5,
     val suspectAfterMs: Long = 3_500,
     val repeatRecordMs: Long = 5_000,
     val syncDelayMs: Long = 600,
--- a/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
@@ -33,6 +33,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
+import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
 /**
@@ -64,6 +65,7 @@
     private val caller = HttpCaller(eventLoop, CONNECT_TIMEOUT_MS, KEEP_ALIVE_IDLE_S)
     private val server = DataPathServer(DataPathSettings(), Transport.NIO, group, CallHandler(::serve), metrics)
     private lateinit var datagrams: Channel
+    private val receivers = HashMap<String, InetSocketAddress>()
 
     /** Binds the port. */
     fun start() {
@@ -107,8 +109,15 @@
         if (addresses.isEmpty()) return
         val bytes = cbor.encodeToByteArray(PeerDatagram.serializer(), message)
         for (address in addresses) {
-            datagrams.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), socketAddressOf(address)), datagrams.voidPromise())
+            datagrams.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver(address)), datagrams.voidPromise())
         }
+        datagrams.flush()
+    }
+
+    // Machines that are replaced leave their addresses behind, so the table is emptied when it has grown.
+    private fun receiver(address: String): InetSocketAddress {
+        if (receivers.size > MAX_RECEIVERS) receivers.clear()
+        return receivers.getOrPut(address) { socketAddressOf(address) }
     }
 
     override fun ask(
@@ -168,6 +177,7 @@
 
     private companion object {
         val log = KotlinLogging.logger {}
+        const val MAX_RECEIVERS = 4_096
         const val SYNC_PATH = "/v1/sync"
         const val CBOR_TYPE = "application/cbor"
 
