Keep a departure beyond a restart of its node; bound what troubled backend servers send; pass over records without addresses

Found: (1) a node that had acknowledged that its backend server leaves asked it after a restart, and used it again when its health answer was good or a late heartbeat came; (2) a stream of parts of one byte held a node's loop past the caller's deadline (2.1 s for 1.0 s); (3) a member record with an address that is none made a call fail in its handler, and each beacon of the node. Ruled out by tests that pass: a second copy of an answer, at once or late; bytes without end in a status line, a head, a body, chunk sizes, extensions, trailers, informational answers; a lost answer that is repeated or denied; unreadable records. Change: a departure (instance and start) is part of the node's record and is written at once; a node reads its record of before its start before it writes or asks its backend server. A stream of tiny parts is no answer. Records without addresses are passed over with a line. Listeners that hear no reader read.

--- a/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmission.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/admission/SlotAdmission.kt
@@ -98,7 +98,7 @@
     ): AdmissionResult {
         val expectedNanos = durations.of(call.route)
         val waitNanos = waitNanos(queue.ahead(call, late = false) { durations.of(it.route) })
-        val inTime = nowNanos + (waitNanos + expectedNanos * (1 + settings.marginShare)).toLong() - dueNanos(call, nowNanos) <= 0
+        val inTime = waitNanos <= longestWaitNanos(dueNanos(call, nowNanos) - nowNanos, expectedNanos)
         if (!inTime && !call.acceptsLate) return reject(call, RejectReason.QUEUE_TIME, waitNanos)
         call.late = !inTime
         if (call.late) {
@@ -114,6 +114,15 @@
         return AdmissionResult.Queued
     }
 
+    /** Longest wait after which a call of [expectedNanos] very likely ends within [leftNanos], as durations vary. */
+    private fun longestWaitNanos(
+        leftNanos: Long,
+        expectedNanos: Double,
+    ): Double {
+        val slackNanos = leftNanos - expectedNanos
+        return slackNanos - minOf(expectedNanos * settings.marginShare, slackNanos * settings.marginOfSlack)
+    }
+
     /** Time at which [call] must end to be worth its slot. */
     private fun dueNanos(
         call: AdmissionCall,
--- a/calls/src/main/kotlin/dev/lycheehill/calls/balancing/ObservedTarget.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/balancing/ObservedTarget.kt
@@ -30,8 +30,14 @@
     private var slots = info.slots
     private var reportedAtNanos = 0L
 
+    // Calls that this node keeps at the target at most. It grows with the answers and is halved when one does not come.
+    private var window = settings.firstWindow
+
     fun isUp(nowNanos: Long): Boolean = nowNanos - downUntilNanos >= 0
 
+    /** Whether the target has answered enough of the earlier calls to get another one. */
+    val hasRoom: Boolean get() = inFlight < window
+
     fun onStart(nowNanos: Long) {
         if (inFlight == 0) unansweredSinceNanos = nowNanos
         inFlight++
@@ -42,7 +48,17 @@
         answered: Boolean,
     ) {
         inFlight--
-        if (answered) unansweredSinceNanos = nowNanos
+        if (!answered) return
+        unansweredSinceNanos = nowNanos
+        window = minOf(window + settings.windowGrowth, max(1, slots) * settings.windowSlots.toDouble())
+    }
+
+    /** A call has ended after [latencyNanos] without an answer. A caller that leaves early says nothing about the target. */
+    fun onNoAnswer(
+        latencyNanos: Long,
+        typicalNanos: Double,
+    ) {
+        if (latencyNanos > silenceNanos(if (serviceNanos > 0) serviceNanos else typicalNanos)) window = max(1.0, window / 2)
     }
 
     /** Whether several calls have been without any answer for much longer than a call takes. */
@@ -51,10 +67,13 @@
         usualNanos: Double,
     ): Boolean {
         if (inFlight < settings.silentCalls) return false
-        val limitNanos = max(settings.silentAfterMs * NANOS_PER_MILLI.toDouble(), usualNanos * settings.silentDurations)
-        return nowNanos - unansweredSinceNanos > limitNanos
+        return nowNanos - unansweredSinceNanos > silenceNanos(usualNanos)
     }
 
+    // Time after which a call that usually takes usualNanos is much later than that.
+    private fun silenceNanos(usualNanos: Double): Double =
+        max(settings.silentAfterMs * NANOS_PER_MILLI.toDouble(), usualNanos * settings.silentDurations)
+
     fun onReport(
         report: LoadReport,
         nowNanos: Long,
--- a/calls/src/main/kotlin/dev/lycheehill/calls/balancing/TargetInfo.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/balancing/TargetInfo.kt
@@ -7,6 +7,7 @@
  * @property slots calls that the target can run at a time.
  * @property weight relative share of calls; at least 0.
  * @property cold whether the target announced a cold start.
+ * @property bootId changes with each start of the process of the target's node, which is slow at first.
  */
 data class TargetInfo(
     val id: String,
@@ -15,4 +16,5 @@
     val slots: Int,
     val weight: Int = 1,
     val cold: Boolean = false,
+    val bootId: Long = 0,
 )
--- a/calls/src/main/kotlin/dev/lycheehill/calls/balancing/WaitAwarePicker.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/balancing/WaitAwarePicker.kt
@@ -9,6 +9,10 @@
  * node last reported them, corrected by what this node has sent since. A target in another zone must be faster by the
  * factor [WaitAwareSettings.otherZoneFactor], which is what crossing zones costs.
  *
+ * A target gets no more calls at a time than the answers to the earlier ones allow (additive increase, multiplicative
+ * decrease). So a node that has just started and is slow, and a machine that is cut off, hold few calls while the others are
+ * full: what no target has room for is refused at once.
+ *
  * A target whose node accepts no connection is left out for a time that doubles with each failure.
  *
  * All state is guarded by the lock of this object.
@@ -31,7 +35,7 @@
         byId.keys.retainAll(ids)
         for (info in targets) {
             val known = byId[info.id]
-            if (known == null || known.info.address != info.address) {
+            if (known == null || known.info.address != info.address || known.info.bootId != info.bootId) {
                 byId[info.id] = ObservedTarget(info, settings)
             } else {
                 known.info = info
@@ -47,8 +51,8 @@
     ): TargetHandle? {
         val untried = if (tried.isEmpty()) all else all.filter { it.info.id !in tried }
         val typicalNanos = typicalNanos()
-        return best(untried, nowNanos, typicalNanos) { it.isUp(nowNanos) }
-            ?: untried.minByOrNull { it.downUntilNanos - nowNanos }
+        val up = untried.filter { it.isUp(nowNanos) }
+        return if (up.isEmpty()) untried.minByOrNull { it.downUntilNanos - nowNanos } else best(up, nowNanos, typicalNanos)
     }
 
     @Synchronized
@@ -73,6 +77,7 @@
         val state = target as ObservedTarget
         state.onEnd(nowNanos, answered = load != null)
         load?.let { state.onReport(it, nowNanos) }
+        if (load == null) state.onNoAnswer(latencyNanos, typicalNanos())
         when (outcome) {
             AttemptOutcome.SUCCESS -> state.onAnswer(failed = false)
             AttemptOutcome.FAILURE -> state.onAnswer(failed = true)
@@ -81,16 +86,15 @@
         }
     }
 
-    private inline fun best(
+    private fun best(
         from: List<ObservedTarget>,
         nowNanos: Long,
         typicalNanos: Double,
-        usable: (ObservedTarget) -> Boolean,
     ): ObservedTarget? {
         var chosen: ObservedTarget? = null
         var least = Double.MAX_VALUE
         for (target in from) {
-            if (!usable(target)) continue
+            if (!target.hasRoom) continue
             val zoneFactor = if (target.info.zone == zone) 1.0 else settings.otherZoneFactor
             // A random part keeps nodes with equal reports from choosing the same target at once.
             val cost = target.expectedNanos(nowNanos, typicalNanos) * zoneFactor * (1 + random.nextDouble() * settings.spread)
--- a/calls/src/main/kotlin/dev/lycheehill/calls/balancing/WaitAwareSettings.kt
+++ b/calls/src/main/kotlin/dev/lycheehill/calls/balancing/WaitAwareSettings.kt
@@ -15,6 +15,9 @@
  * @property silentAfterMs least time without an answer for that, several round trips.
  * @property silentDurations the same in usual durations of a call.
  * @property silentFactor factor for a target that has fallen silent.
+ * @property firstWindow calls that a node keeps at a target whose node has just started and is slow at first.
+ * @property windowGrowth growth of that number with each answer: by a quarter in the time of a call.
+ * @property windowSlots largest such number, in slots of the target.
  * @property firstDownMs time for which a target is left out after its node accepted no connection.
  * @property maxDownMs longest such time.
  */
@@ -31,6 +34,9 @@
     val silentAfterMs: Long = 300,
     val silentDurations: Double = 2.5,
     val silentFactor: Double = 8.0,
+    val firstWindow: Double = 3.0,
+    val windowGrowth: Double = 0.25,
+    val windowSlots: Int = 2,
     val firstDownMs: Long = 250,
     val maxDownMs: Long = 2_000,
 )
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetView.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetView.kt
@@ -1,6 +1,7 @@
 package dev.lycheehill.fleet
 
 import dev.lycheehill.config.fold.FoldState
+import dev.lycheehill.fleet.membership.Departure
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
 
@@ -24,4 +25,7 @@
         service: String = self.service,
         slots: Int = self.slots,
     )
+
+    /** Keeps [departure] beyond a restart of this node, where the fleet has a place for it. */
+    fun recordDeparture(departure: Departure) = Unit
 }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/MemberRecord.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/MemberRecord.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.serialization.Serializable
 
+private const val MAX_PORT = 65_535
+
 /**
  * One node and the target beside it.
  *
@@ -11,6 +13,7 @@
  * @property dataAddress `ip:port` where the node accepts calls for its target.
  * @property slots calls that the target can run at a time.
  * @property bootId changes with each start of the node's process, unlike [incarnation], which also rises while it runs.
+ * @property departure latest start of the backend server beside the node that has said that it leaves, if any.
  */
 @Serializable
 data class MemberRecord(
@@ -24,4 +27,11 @@
     val dataAddress: String,
     val slots: Int = 0,
     val bootId: Long = 0,
-)
+    val departure: Departure? = null,
+) {
+    /** Whether both addresses can be connected to: a host and a port. */
+    val hasAddresses: Boolean get() = isAddress(controlAddress) && isAddress(dataAddress)
+
+    private fun isAddress(text: String): Boolean =
+        text.substringBeforeLast(':', "").isNotEmpty() && text.substringAfterLast(':').toIntOrNull() in 1..MAX_PORT
+}
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/DirectoryReader.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/DirectoryReader.kt
@@ -32,6 +32,10 @@
     var isRead = false
         private set
 
+    /** Whether all records have been read more than once. */
+    var isReadAgain = false
+        private set
+
     /** Whether the last call failed. */
     val isLost: Boolean get() = calls.isLost
 
@@ -64,6 +68,7 @@
 
     private fun finished() {
         reading = false
+        isReadAgain = isRead
         isRead = true
         onRead()
         if (readAgain) {
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/FleetChange.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/FleetChange.kt
@@ -12,6 +12,9 @@
         val source: String,
     ) : FleetChange
 
+    /** This node has read the members, and with them its own record of before its start. */
+    data object MembersRead : FleetChange
+
     /** A configuration record cannot be read and is passed over. */
     data class ConfigurationUnreadable(
         val offset: Long,
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.core.time.TimerService
 import dev.lycheehill.core.time.nowMs
 import dev.lycheehill.fleet.InForceReport
+import dev.lycheehill.fleet.membership.Departure
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.fleet.membership.MemberTable
@@ -82,6 +83,9 @@
         slots: Int,
     ) = replaceSelf(self.copy(state = state, service = service, slots = slots, incarnation = self.incarnation + 1))
 
+    /** Adds [departure] to the record of this node. */
+    fun recordDeparture(departure: Departure) = replaceSelf(self.copy(departure = departure, incarnation = self.incarnation + 1))
+
     /** Raises the incarnation above that of [record], which claims to be this node. Returns whether that was needed. */
     fun refute(record: MemberRecord): Boolean {
         if (record.bootId == self.bootId || record.incarnation < self.incarnation) return false
@@ -91,17 +95,22 @@
 
     /**
      * Part of this node in reading the configuration: the lookout is the first by node id of those that are heard, the
-     * readers are the first of each zone. Nodes whose views differ may both read, which costs calls and does no harm.
+     * readers are the first of each zone, and every node that hears none of these. Nodes whose views differ may both read,
+     * which costs calls and does no harm.
      */
     fun role(): ReaderRole {
         val before = view.values.filter { it.nodeId < self.nodeId && it.state < MemberState.SUSPECT }
+        val readers = before.filter { it.zone == self.zone }.sortedBy { it.nodeId }.take(settings.readersPerZone)
         return when {
             before.isEmpty() -> ReaderRole.LOOKOUT
-            before.count { it.zone == self.zone } < settings.readersPerZone -> ReaderRole.READER
+            readers.size < settings.readersPerZone || readers.all { isSilentReader(it.nodeId) } -> ReaderRole.READER
             else -> ReaderRole.LISTENER
         }
     }
 
+    // In a large fleet a silent member is suspected late, as each sends a beacon to a part of the others only.
+    private fun isSilentReader(nodeId: String): Boolean = timers.nowMs() - (heardAtMs[nodeId] ?: timers.nowMs()) > settings.readersSilentMs
+
     /** Other members of this node's zone that do not read the configuration at the store. */
     fun listenersInZone(): List<MemberRecord> =
         peers()
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublication.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublication.kt
@@ -27,7 +27,7 @@
     private var writing = false
     private var listener: () -> Unit = {}
 
-    /** Writes [record] and forgets an older one that is not written yet. [onWritten] is called after the next write. */
+    /** Writes [record] and forgets an older one that is not written yet. [onWritten] is called after the next write that may have been done. */
     fun publish(
         record: MemberRecord,
         onWritten: () -> Unit = {},
@@ -48,14 +48,20 @@
         val failures = calls.succeeded()
         if (failures > 0) onChange(FleetChange.RecordWritten(record.incarnation, failures))
         writing = false
-        listener()
-        listener = {}
+        told()
         val newer = wanted
         if (newer == record) wanted = null else newer?.let(::write)
     }
 
+    private fun told() {
+        listener()
+        listener = {}
+    }
+
     private fun failed(error: StoreError) {
         if (!calls.isLost) onChange(FleetChange.RecordNotWritten(error.reason))
+        // The write may have been done although its answer is lost.
+        if (error is StoreError.Unknown) told()
         timers.after(calls.failed()) { wanted?.let(::write) }
     }
 }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -7,6 +7,7 @@
 import dev.lycheehill.core.time.nowMs
 import dev.lycheehill.fleet.FleetView
 import dev.lycheehill.fleet.InForceReport
+import dev.lycheehill.fleet.membership.Departure
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.platformlog.keyed.KeyedRecord
@@ -48,7 +49,7 @@
             configurationLinkChanged(it)
         }
     private val directory =
-        DirectoryReader(store, timers, settings, random, ::recordRead, ::tellAll) { linkChanged(KeyedTopic.MEMBERS, it) }
+        DirectoryReader(store, timers, settings, random, ::recordRead, ::directoryRead) { linkChanged(KeyedTopic.MEMBERS, it) }
     private var subscription: Subscription? = null
     private var syncing = false
 
@@ -56,6 +57,10 @@
     private var tellAgain = false
     private var tableAskedAtMs = timers.nowMs()
 
+    /** Whether this node has read its own record of before its start, if there is one. */
+    var knowsItsPast = false
+        private set
+
     // Whether calls to the store are without an answer, and when they were answered again.
     private var storeIsSilent = false
     private var storeBackAtMs: Long? = null
@@ -84,8 +89,6 @@
         peers.onRequest = ::answer
         configurations.start()
         directory.read()
-        // Of two nodes that start at the same time, the one that reads after its write finds the other.
-        publication.publish(self) { directory.read() }
         subscription = timers.every(settings.beaconMs, ::tick)
     }
 
@@ -111,6 +114,28 @@
         publishSelf()
     }
 
+    override fun recordDeparture(departure: Departure) {
+        if (self.departure == departure) return
+        members.recordDeparture(departure)
+        publication.publish(self)
+        tellAll()
+        tellAgain = true
+    }
+
+    // The record of before the start is read before it is overwritten. Of two nodes that start at the same time, the one that
+    // reads after its write finds the other.
+    private fun directoryRead() {
+        if (!directory.isReadAgain) publication.publish(self) { directory.read() }
+        pastRead()
+        tellAll()
+    }
+
+    private fun pastRead() {
+        if (knowsItsPast) return
+        knowsItsPast = true
+        onChange(FleetChange.MembersRead)
+    }
+
     // Other nodes learn a change from a beacon. The store tells nodes that start where the others are.
     private fun publishSelf() {
         if (self.state == MemberState.GONE) publication.publish(self)
@@ -137,8 +162,7 @@
         beacon: Beacon,
     ) = peers.send(receivers.map { it.controlAddress }, beacon)
 
-    private fun beacon(record: MemberRecord?) =
-        Beacon(self.nodeId, self.incarnation, state.version, members.hash(), record, storeBackMs())
+    private fun beacon(record: MemberRecord?) = Beacon(self.nodeId, self.incarnation, state.version, members.hash(), record, storeBackMs())
 
     private fun storeBackMs(): Long? = storeBackAtMs?.let { timers.nowMs() - it }?.takeIf { it < settings.repeatRecordMs }
 
@@ -187,6 +211,7 @@
             syncing = false
             if (reply != null) {
                 reply.members.forEach(::merge)
+                if (reply.members.isNotEmpty()) pastRead()
                 reply.content?.let { apply(reply.version, it, "node ${sender.nodeId}") }
             }
         }
@@ -226,8 +251,14 @@
     }
 
     private fun merge(record: MemberRecord) {
+        if (!record.hasAddresses) {
+            onChange(FleetChange.RecordUnreadable(record.nodeId, "an address is not ip:port"))
+            return
+        }
         if (record.nodeId == self.nodeId) {
-            if (members.refute(record)) publishSelf()
+            val known = self.departure
+            if (record.bootId != self.bootId && known == null) record.departure?.let(members::recordDeparture)
+            if (members.refute(record) || self.departure != known) publishSelf()
         } else if (members.merge(record)) {
             onChange(FleetChange.Member(record))
         }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetSettings.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetSettings.kt
@@ -15,6 +15,8 @@
  * @property syncDelayMs time for which a node that reaches the store waits for it before it asks another node.
  * @property readersPerZone nodes of each zone that wait at the store for configurations, the others take them from a node
  *   of their zone; each call is priced, and one reader or all of a zone may be turned away.
+ * @property readersSilentMs time without a beacon of any reader of the zone after which a node reads itself; each sends it one
+ *   within a turn, 20 s in a fleet of 100.
  * @property listenSpreadMs time over which the nodes of a zone spread their questions for a new configuration.
  * @property tableSyncMs shortest time between two questions for all member records, which are long in a large fleet.
  * @property directoryPeriodMs mean period in which the member records are read again, for what no beacon has told.
@@ -28,6 +30,7 @@
     val repeatRecordMs: Long = 5_000,
     val syncDelayMs: Long = 600,
     val readersPerZone: Int = 5,
+    val readersSilentMs: Long = 20_000,
     val listenSpreadMs: Long = 300,
     val tableSyncMs: Long = 1_000,
     val directoryPeriodMs: Long = 30_000,
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetSim.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetSim.kt
@@ -74,8 +74,8 @@
                 state = MemberState.COLD,
                 zone = zone,
                 region = "r",
-                controlAddress = id,
-                dataAddress = id,
+                controlAddress = "$id:1",
+                dataAddress = "$id:2",
                 bootId = incarnation,
             )
         val fleet = StoreFleet(identity, store.viewOf(access), ::decode, channel, timers, seed = seed + id.hashCode())
@@ -100,8 +100,8 @@
         override fun send(
             addresses: List<String>,
             beacon: Beacon,
-        ) = addresses.forEach { address ->
-            timers.after(DELAY_MS) { if (isOpen(address)) channels[address]?.onBeacon?.invoke(beacon) }
+        ) = addresses.map(::nodeAt).forEach { receiver ->
+            timers.after(DELAY_MS) { if (isOpen(receiver)) channels[receiver]?.onBeacon?.invoke(beacon) }
         }
 
         override fun ask(
@@ -109,13 +109,16 @@
             request: SyncRequest,
             listener: (SyncReply?) -> Unit,
         ) {
+            val receiver = nodeAt(address)
             timers.after(DELAY_MS) {
-                val reply = if (isOpen(address)) channels[address]?.onRequest?.invoke(request) else null
+                val reply = if (isOpen(receiver)) channels[receiver]?.onRequest?.invoke(request) else null
                 timers.after(DELAY_MS) { listener(reply) }
             }
         }
 
-        private fun isOpen(address: String) = id !in cutOff && address !in cutOff
+        private fun isOpen(receiver: String) = id !in cutOff && receiver !in cutOff
+
+        private fun nodeAt(address: String) = address.substringBefore(':')
     }
 
     private companion object {
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -221,7 +221,12 @@
 
     private fun noTarget() {
         if (counts.moves > 0 && mayAskForLate()) return askForLate()
-        val reason = if (home == null) "no-target" else "key-home-gone"
+        val reason =
+            when {
+                home != null -> "key-home-gone"
+                environment.endpoints.targets(decision.service.name).isEmpty() -> "no-target"
+                else -> "no-room"
+            }
         giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.SERVICE_UNAVAILABLE, reason), leastRetryAfterMs ?: NO_TARGET_RETRY_MS)
     }
 
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/ServiceCalls.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/ServiceCalls.kt
@@ -50,5 +50,6 @@
             address = record.dataAddress,
             slots = record.slots,
             cold = record.state == MemberState.COLD,
+            bootId = record.bootId,
         )
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
@@ -17,7 +17,6 @@
 import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.quarantine.EvidenceChannel
 import dev.lycheehill.node.settings.HostPort
-import dev.lycheehill.node.upstream.socketAddressOf
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBufUtil
@@ -109,15 +108,19 @@
         if (addresses.isEmpty()) return
         val bytes = cbor.encodeToByteArray(PeerDatagram.serializer(), message)
         for (address in addresses) {
-            datagrams.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver(address)), datagrams.voidPromise())
+            val receiver = receiver(address) ?: continue
+            datagrams.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver), datagrams.voidPromise())
         }
         datagrams.flush()
     }
 
     // Machines that are replaced leave their addresses behind, so the table is emptied when it has grown.
-    private fun receiver(address: String): InetSocketAddress {
+    private fun receiver(address: String): InetSocketAddress? {
         if (receivers.size > MAX_RECEIVERS) receivers.clear()
-        return receivers.getOrPut(address) { socketAddressOf(address) }
+        receivers[address]?.let { return it }
+        val receiver = HostPort.parseOrNull(address)?.let { InetSocketAddress(it.host, it.port) }
+        if (receiver == null) log.warn { "not an address of a node: $address" } else receivers[address] = receiver
+        return receiver
     }
 
     override fun ask(
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
@@ -166,9 +166,10 @@
 
     private fun changed(change: FleetChange) {
         log(change)
+        if (change == FleetChange.MembersRead) timers.after(0, ::askBackend)
         if (change !is FleetChange.ConfigurationInForce) return
         timers.after(0) {
-            probe.run()
+            askBackend()
             metrics.retainRoutes(
                 fleet
                     .foldState()
@@ -177,12 +178,18 @@
         }
     }
 
+    // A backend server that has said before the start of this node that it leaves may still answer that it is well.
+    private fun askBackend() {
+        if (fleet.knowsItsPast) probe.run()
+    }
+
     private fun log(change: FleetChange) =
         when (change) {
             is FleetChange.ConfigurationInForce ->
                 decisions.write("configuration-in-force", "version" to change.version, "routes" to change.routes, "source" to change.source)
             is FleetChange.ConfigurationUnreadable ->
                 decisions.write("configuration-unreadable", "offset" to change.offset, "reason" to change.reason)
+            FleetChange.MembersRead -> decisions.write("members-read", "members" to fleet.members().size)
             is FleetChange.Member ->
                 decisions.write(
                     "member-changed",
--- a/node/src/main/kotlin/dev/lycheehill/node/relay/ResponseCollector.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/relay/ResponseCollector.kt
@@ -28,6 +28,7 @@
     private val body = BodyBuffer(ByteBufAllocator.DEFAULT)
     private var sink: InboundCall? = null
     private var done = false
+    private var parts = 0
 
     /** Head of the response; set before any event of the listener but a failure. */
     lateinit var head: HttpResponse
@@ -90,6 +91,12 @@
 
     private fun collect(content: HttpContent) {
         body.add(content.content())
+        parts++
+        if (parts > MANY_PARTS && body.sizeBytes < parts * LEAST_MEAN_PART_BYTES) {
+            exchange.cancel()
+            onFailure(ExchangeFailure(Verdict.MAY_HAVE_RUN, ExchangeFailure.Kind.BAD_RESPONSE))
+            return
+        }
         if (content is LastHttpContent) {
             done = true
             listener.onWhole(CollectedResponse(head.status(), head.headers(), body.take(), answer))
@@ -115,4 +122,10 @@
     private fun pauseIfFull(caller: InboundCall) {
         if (!caller.isWritable) exchange.setReading(false)
     }
+
+    private companion object {
+        // A stream of tiny parts would keep the event loop from other calls; no answer of more than 1,024 parts has such.
+        const val MANY_PARTS = 1_024
+        const val LEAST_MEAN_PART_BYTES = 16
+    }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/target/HeartbeatRegister.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/HeartbeatRegister.kt
@@ -31,7 +31,7 @@
         }
         val last = newest
         val isNewStart = last == null || last.instanceId != heartbeat.instanceId || last.bornMs != heartbeat.bornMs
-        if (isNewStart) hasLeft = false
+        if (isNewStart) hasLeft = target.hasDeparted(heartbeat.instanceId, heartbeat.bornMs)
         newest = heartbeat
         if (isNewStart || last?.state != heartbeat.state) log("target-changed", heartbeat, heartbeat.state.name)
         target.announce(
@@ -42,6 +42,7 @@
                 slots = heartbeat.slots,
                 leaseMs = leaseMs,
                 instanceId = heartbeat.instanceId,
+                bornMs = heartbeat.bornMs,
             ),
         )
         return outcome
--- a/node/src/main/kotlin/dev/lycheehill/node/target/LocalTarget.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/LocalTarget.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.core.time.NANOS_PER_MILLI
 import dev.lycheehill.core.time.TimerService
 import dev.lycheehill.fleet.FleetView
+import dev.lycheehill.fleet.membership.Departure
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.node.api.TargetLoad
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -59,6 +60,7 @@
         onSlots(slotsOf(next))
         leaseEndNanos = timers.nowNanos() + next.leaseMs * NANOS_PER_MILLI
         if (!renewsSame) publish()
+        if (next.state >= MemberState.DRAINING) recordDeparture(next)
     }
 
     /** Removes the backend server. */
@@ -67,6 +69,18 @@
         if (registration == null) return
         registration = registration?.copy(state = MemberState.DRAINING)
         publish()
+        registration?.let(::recordDeparture)
+    }
+
+    /** Whether the start named [instanceId] of [bornMs] has said that it leaves, to this process or to an earlier one of this node. */
+    fun hasDeparted(
+        instanceId: String,
+        bornMs: Long,
+    ): Boolean = fleet.self.departure?.covers(instanceId, bornMs) == true
+
+    private fun recordDeparture(leaving: TargetRegistration) {
+        if (leaving.instanceId.isEmpty() || hasDeparted(leaving.instanceId, leaving.bornMs)) return
+        fleet.recordDeparture(Departure(leaving.instanceId, leaving.bornMs))
     }
 
     /** Refuses all further work for this target. */
