--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetView.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/FleetView.kt
@@ -26,6 +26,6 @@
         slots: Int = self.slots,
     )
 
-    /** Keeps [departure] beyond a restart of this node, where the fleet has a place for it. */
-    fun recordDeparture(departure: Departure) = Unit
+    /** Keeps [departure] beyond a restart of this node, where the fleet has a place for it; null when the start has come back. */
+    fun recordDeparture(departure: Departure?) = Unit
 }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
@@ -83,8 +83,8 @@
         slots: Int,
     ) = replaceSelf(self.copy(state = state, service = service, slots = slots, incarnation = self.incarnation + 1))
 
-    /** Adds [departure] to the record of this node. */
-    fun recordDeparture(departure: Departure) = replaceSelf(self.copy(departure = departure, incarnation = self.incarnation + 1))
+    /** Sets [departure] in the record of this node. */
+    fun recordDeparture(departure: Departure?) = replaceSelf(self.copy(departure = departure, incarnation = self.incarnation + 1))
 
     /** Raises the incarnation above that of [record], which claims to be this node. Returns whether that was needed. */
     fun refute(record: MemberRecord): Boolean {
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -114,7 +114,7 @@
         publishSelf()
     }
 
-    override fun recordDeparture(departure: Departure) {
+    override fun recordDeparture(departure: Departure?) {
         if (self.departure == departure) return
         members.recordDeparture(departure)
         publication.publish(self)
--- a/node/src/main/kotlin/dev/lycheehill/node/target/LocalTarget.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/LocalTarget.kt
@@ -60,7 +60,10 @@
         onSlots(slotsOf(next))
         leaseEndNanos = timers.nowNanos() + next.leaseMs * NANOS_PER_MILLI
         if (!renewsSame) publish()
-        if (next.state >= MemberState.DRAINING) recordDeparture(next)
+        when {
+            next.state >= MemberState.DRAINING -> recordDeparture(next)
+            hasDeparted(next.instanceId, next.bornMs) -> fleet.recordDeparture(null)
+        }
     }
 
     /** Removes the backend server. */
--- a/node/src/main/kotlin/dev/lycheehill/node/view/InMemoryFleetView.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/view/InMemoryFleetView.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.config.fold.FoldState
 import dev.lycheehill.fleet.FleetView
 import dev.lycheehill.fleet.InForceReport
+import dev.lycheehill.fleet.membership.Departure
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
 
@@ -26,4 +27,6 @@
     ) {
         fleet.update(nodeId) { it.copy(state = state, service = service, slots = slots, incarnation = it.incarnation + 1) }
     }
+
+    override fun recordDeparture(departure: Departure?) = fleet.update(nodeId) { it.copy(departure = departure) }
 }
--- a/node/src/test/kotlin/dev/lycheehill/node/target/HeartbeatRegisterTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/target/HeartbeatRegisterTest.kt
@@ -55,6 +55,21 @@
         expectThat(register.take(heartbeat(id, bornMs, sequence, service = service, address = address))) isEqualTo expected
     }
 
+    /** Guards against a start that is refused for ever after it has taken back that it leaves, and one that is not after a restart. */
+    @Test
+    fun `a start that drains and is ready again serves, and one that left does not after a restart of the node`() {
+        register.take(heartbeat())
+        register.take(heartbeat(sequence = 6, state = MemberState.DRAINING))
+        expectThat(target.refusal()) isEqualTo "draining"
+        register.take(heartbeat(sequence = 7))
+        expectThat(target.refusal()).isNull()
+        expectThat(fleet.members().getValue("n").departure).isNull()
+        register.leave("i-1")
+        val next = LocalTarget(InMemoryFleetView(fleet, "n"), timers)
+        HeartbeatRegister(next, "orders", ADDRESS, leaseMs = 20_000).take(heartbeat(sequence = 8))
+        expectThat(next.refusal()) isEqualTo "draining"
+    }
+
     /** Guards against new work for a backend server that has said that it leaves, also by a heartbeat sent before. */
     @Test
     fun `a start that leaves takes no further work`() {
--- a/standins/src/main/kotlin/dev/lycheehill/standins/backend/BackendStandIn.kt
+++ b/standins/src/main/kotlin/dev/lycheehill/standins/backend/BackendStandIn.kt
@@ -79,9 +79,14 @@
         if (closed == null) eventLoop.execute(work::closeConnections) else closed.addListener { closeConnectionsLater() }
     }
 
-    // The system accepts connections for a closed listener until the event loop has selected once more.
+    // The system accepts connections for a closed listener until the event loop has selected once more. On a busy loop the first
+    // delay can pass before that; the second one begins among the tasks of the loop, which selects before it runs the next ones.
     private fun closeConnectionsLater() {
-        eventLoop.schedule(work::closeConnections, SELECTION_MS, TimeUnit.MILLISECONDS)
+        eventLoop.schedule(
+            { eventLoop.schedule(work::closeConnections, SELECTION_MS, TimeUnit.MILLISECONDS) },
+            SELECTION_MS,
+            TimeUnit.MILLISECONDS,
+        )
     }
 
     override fun close() {
