--- a/cli/src/main/kotlin/dev/lycheehill/cli/logs/RequestExplanation.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/logs/RequestExplanation.kt
@@ -105,6 +105,7 @@
                 "draining" to "the backend server was leaving",
                 "lease-expired" to "the backend server had sent no heartbeat",
                 "no-target" to "no instance of the service was left to try",
+                "no-room" to "each instance held as many calls of this node as its answers allow",
                 "no-configuration" to "the node had not read a configuration",
                 "quarantined" to "backend servers died while they ran it",
                 "deadline" to "the time of the caller was over",
