--- a/node/src/main/kotlin/dev/lycheehill/node/DataPathServer.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/DataPathServer.kt
@@ -39,7 +39,7 @@
         channel =
             ServerBootstrap()
                 .group(group)
-                .channel(transport.serverChannelType)
+                .channelFactory(transport.newServerChannel)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -64,6 +64,8 @@
 
     private fun initializer() =
         object : ChannelInitializer<Channel>() {
+            override fun isSharable(): Boolean = true
+
             override fun initChannel(child: Channel) {
                 if (connections.size >= settings.maxConnections) {
                     child.close()
--- a/node/src/main/kotlin/dev/lycheehill/node/client/HttpCaller.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/client/HttpCaller.kt
@@ -29,7 +29,7 @@
     private val upstreams =
         Upstreams(
             eventLoop,
-            Transport.NIO.channelType,
+            Transport.NIO.newChannel,
             DataPathSettings(connectTimeoutMs = connectTimeoutMs, keepAliveIdleS = keepAliveIdleS),
         )
 
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -58,6 +58,9 @@
     /** Whether no earlier call of this connection is unanswered. */
     fun isFirst(call: InboundCall): Boolean = calls.firstOrNull() === call
 
+    // The default reads the annotations of the class, which costs a start some milliseconds.
+    override fun isSharable(): Boolean = false
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
         body = BodyBuffer(ctx.alloc())
--- a/node/src/main/kotlin/dev/lycheehill/node/http/RequestTimeouts.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/RequestTimeouts.kt
@@ -24,6 +24,9 @@
     private var phaseStartNanos = 0L
     private var timer: ScheduledFuture<*>? = null
 
+    // The default reads the annotations of the class, which costs a start some milliseconds.
+    override fun isSharable(): Boolean = false
+
     override fun channelActive(ctx: ChannelHandlerContext) {
         this.ctx = ctx
         // A connection that never sends a whole request header counts as slow from its beginning.
--- a/node/src/main/kotlin/dev/lycheehill/node/loop/Transport.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/loop/Transport.kt
@@ -1,6 +1,7 @@
 package dev.lycheehill.node.loop
 
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFactory
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.IoHandlerFactory
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -16,11 +17,11 @@
 
 /** Socket implementation of Netty. */
 enum class Transport(
-    internal val channelType: Class<out Channel>,
-    internal val serverChannelType: Class<out ServerChannel>,
+    internal val newChannel: ChannelFactory<out Channel>,
+    internal val newServerChannel: ChannelFactory<out ServerChannel>,
 ) {
-    EPOLL(EpollSocketChannel::class.java, EpollServerSocketChannel::class.java),
-    NIO(NioSocketChannel::class.java, NioServerSocketChannel::class.java),
+    EPOLL(::EpollSocketChannel, ::EpollServerSocketChannel),
+    NIO(::NioSocketChannel, ::NioServerSocketChannel),
     ;
 
     /** Returns a new group of [threads] event loops. */
--- a/node/src/main/kotlin/dev/lycheehill/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/metrics/NodeMetrics.kt
@@ -20,13 +20,17 @@
  *
  * Each meter is made when it is first used: those with a fixed set of labels here, those of a route in [route]. After that,
  * recording takes no lock and allocates nothing. Gauges read 0 until [bindGauge] gives them a source.
+ *
+ * @param isDeferred whether recordings are kept until [open] or a scrape, as the first meters cost as much as many calls.
  */
 class NodeMetrics(
+    isDeferred: Boolean = false,
     newRegistry: () -> PrometheusMeterRegistry = { PrometheusMeterRegistry(PrometheusConfig.DEFAULT) },
 ) : AutoCloseable {
     // Made by the first meter that is used or by a scrape, as its start costs a seventh of that of a node.
     private val lazyRegistry = lazy { newRegistry().also(::registerSources) }
     private val registry by lazyRegistry
+    private val recordings = DeferredRecordings(isOpen = !isDeferred)
     private val gaugeSources = ConcurrentHashMap<NodeMeter, () -> Number>()
     private val memberSources = ConcurrentHashMap<MemberState, () -> Number>()
     private val routes = ConcurrentHashMap<String, RouteMetrics>()
@@ -56,13 +60,13 @@
     }
 
     /** Counts a call refused before it ran. */
-    fun shed(reason: ShedReason) = sheds[reason.ordinal].value.increment()
+    fun shed(reason: ShedReason) = recordings.add { sheds[reason.ordinal].value.increment() }
 
     /** Records the time that a call waited at the ingress. */
     fun queued(
         priority: Priority,
         waitNanos: Long,
-    ) = queueTimes[priority.ordinal].value.record(waitNanos, TimeUnit.NANOSECONDS)
+    ) = recordings.add { queueTimes[priority.ordinal].value.record(waitNanos, TimeUnit.NANOSECONDS) }
 
     /** Counts the ejection of a target of [service]. */
     fun ejected(service: String) = ejections.computeIfAbsent(service) { counter(NodeMeter.EJECTIONS, it) }.increment()
@@ -110,8 +114,12 @@
         memberSources[state] = source
     }
 
+    /** Records what was kept, and from now on at once. */
+    fun open() = recordings.open()
+
     /** Returns all meters in the Prometheus text format, also those that have counted nothing yet. */
     fun scrape(): String {
+        open()
         (sheds + queueTimes + keyedCalls + patches).forEach { it.value }
         silentConnections
         routes.values.forEach { it.makeAll() }
@@ -135,6 +143,7 @@
 
     private fun newRoute(name: String): RouteMetrics =
         RouteMetrics(
+            recordings = recordings,
             calls = Verdict.entries.map { lazy { timer(NodeMeter.CALLS, name, it.headerValue) } },
             retries = lazy { counter(NodeMeter.RETRIES, name) },
             retriesDenied = lazy { counter(NodeMeter.RETRIES_DENIED, name) },
--- a/node/src/main/kotlin/dev/lycheehill/node/metrics/RouteMetrics.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/metrics/RouteMetrics.kt
@@ -7,6 +7,7 @@
 
 /** Meters of one route, resolved once. Callers keep it with the route, so that a call needs no lookup. */
 class RouteMetrics internal constructor(
+    private val recordings: DeferredRecordings,
     private val calls: List<Lazy<Timer>>,
     private val retries: Lazy<Counter>,
     private val retriesDenied: Lazy<Counter>,
@@ -16,17 +17,17 @@
     fun callFinished(
         verdict: Verdict,
         durationNanos: Long,
-    ) = calls[verdict.ordinal].value.record(durationNanos, TimeUnit.NANOSECONDS)
+    ) = recordings.add { calls[verdict.ordinal].value.record(durationNanos, TimeUnit.NANOSECONDS) }
 
     /** Makes the meters that have counted nothing yet. */
     internal fun makeAll() = (calls + listOf(retries, retriesDenied, hedges)).forEach { it.value }
 
     /** Counts an attempt after the first. */
-    fun retried() = retries.value.increment()
+    fun retried() = recordings.add { retries.value.increment() }
 
     /** Counts an attempt that the budget did not allow. */
-    fun retryDenied() = retriesDenied.value.increment()
+    fun retryDenied() = recordings.add { retriesDenied.value.increment() }
 
     /** Counts a second attempt beside a running one. */
-    fun hedged() = hedges.value.increment()
+    fun hedged() = recordings.add { hedges.value.increment() }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/peer/PeerLink.kt
@@ -158,6 +158,8 @@
     private fun datagram(bytes: ByteArray): PeerDatagram = cbor.decodeFromByteArray(PeerDatagram.serializer(), bytes)
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun isSharable(): Boolean = false
+
         override fun channelRead0(
             ctx: ChannelHandlerContext,
             packet: DatagramPacket,
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreNode.kt
@@ -50,7 +50,7 @@
 
     /** Timers on the event loop of the node. */
     val timers = EventLoopTimers(eventLoop)
-    private val metrics = NodeMetrics()
+    private val metrics = NodeMetrics(isDeferred = true)
     private val decisions = DecisionLog()
     private val seed = settings.nodeId.hashCode().toLong() xor timers.nowNanos()
     private val peers = PeerLink(settings.peer, group, eventLoop, metrics)
@@ -109,6 +109,7 @@
         peers.start()
         node.start()
         eventLoop.submit(fleet::start).sync()
+        timers.after(METERS_AFTER_MS, metrics::open)
         log.info { "node ${settings.nodeId} of service ${settings.service} in zone ${settings.zone} serves" }
     }
 
@@ -212,6 +213,9 @@
         // Above any idle time that an operator's configuration lets callers use.
         const val CALLER_IDLE_MS = 300_000L
 
+        // The first calls of a process take most of its processor time for about two seconds.
+        const val METERS_AFTER_MS = 3_000L
+
         // A write to the store takes a few milliseconds.
         const val LAST_WRITE_MS = 100L
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/UpstreamConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/UpstreamConnection.kt
@@ -38,6 +38,9 @@
     val isHeadSent: Boolean get() = headSent
     val isUsable: Boolean get() = reusable && ctx.channel().isActive
 
+    // The default reads the annotations of the class, which costs a start some milliseconds.
+    override fun isSharable(): Boolean = false
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/Upstreams.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/Upstreams.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.node.DataPathSettings
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFactory
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -13,7 +14,7 @@
 /** Connection pools of one event loop by address of the peer. Used on that event loop only. */
 internal class Upstreams(
     private val eventLoop: EventLoop,
-    channelType: Class<out Channel>,
+    newChannel: ChannelFactory<out Channel>,
     private val settings: DataPathSettings,
 ) {
     private val pools = HashMap<String, ConnectionPool>()
@@ -21,7 +22,7 @@
     private val bootstrap: Bootstrap =
         Bootstrap()
             .group(eventLoop)
-            .channel(channelType)
+            .channelFactory(newChannel)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMs)
             .handler(Initializer)
@@ -65,6 +66,9 @@
     }
 
     private object Initializer : ChannelInitializer<Channel>() {
+        // The default reads the annotations of the class, which costs a start some milliseconds.
+        override fun isSharable(): Boolean = true
+
         override fun initChannel(channel: Channel) {
             channel.pipeline().addLast(HttpClientCodec())
         }
