Add an emulator that plays the nodes' decisions in virtual time

Not emulated: a node's own processor time, cuts of links, the store. The order of attempts of a call is written a second time, as the node's is tied to its sockets.

--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
@@ -28,6 +28,7 @@
         DrainCommand::class,
         QuarantineCommand::class,
         TraceCommand::class,
+        EmulateCommand::class,
         MeasureCommand::class,
         CompletionCommand::class,
     ],
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DecisionPolicies.kt
@@ -0,0 +1,36 @@
+package dev.lycheehill.measure.emulator
+
+import dev.lycheehill.calls.admission.SlotAdmissionSettings
+import dev.lycheehill.calls.balancing.WaitAwareSettings
+
+/** The decisions as built, and the same with one mechanism switched off. */
+object DecisionPolicies {
+    /** The decisions that nodes make. */
+    val asBuilt = DecisionPolicy("as-built")
+
+    private val admission = SlotAdmissionSettings()
+    private val picker = WaitAwareSettings()
+
+    /** All policies by name, the one as built first. */
+    val all: Map<String, DecisionPolicy> =
+        listOf(
+            asBuilt,
+            asBuilt.copy(name = "no-margin", admission = admission.copy(marginOfSlack = 0.0)),
+            asBuilt.copy(name = "mean-margin", admission = admission.copy(longQuantile = 0.5)),
+            asBuilt.copy(name = "no-late-queue", asksForLate = false),
+            asBuilt.copy(name = "no-child-share", admission = admission.copy(childShare = 0.4)),
+            asBuilt.copy(name = "no-priorities", keepsPriorities = false),
+            asBuilt.copy(name = "no-children-first", keepsChildrenFirst = false),
+            asBuilt.copy(name = "no-refusal-share", admission = admission.copy(refusalSmoothing = 0.0)),
+            asBuilt.copy(name = "no-child-pressure", childPressure = null),
+            asBuilt.copy(name = "pressure-by-load", countsBackendRefusals = false),
+            asBuilt.copy(name = "no-moves", maxMoves = 0),
+            asBuilt.copy(name = "one-move", maxMoves = 1),
+            asBuilt.copy(name = "no-retries", budgetPercent = 0),
+            asBuilt.copy(name = "zones-equal", picker = picker.copy(otherZoneFactor = 1.0)),
+            asBuilt.copy(name = "no-failure-share", picker = picker.copy(failureFactor = 0.0)),
+            asBuilt.copy(name = "no-silence", picker = picker.copy(silentFactor = 1.0)),
+            asBuilt.copy(name = "no-window", picker = picker.copy(firstWindow = 1e9, windowSlots = 1_000_000)),
+            asBuilt.copy(name = "no-busy-factor", picker = picker.copy(busyFactor = 0.0)),
+        ).associateBy { it.name }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedDay.kt
@@ -0,0 +1,19 @@
+package dev.lycheehill.measure.emulator
+
+/**
+ * What is played: services and requests, with faults.
+ *
+ * @property zones number of availability zones; each has all services and an equal part of the clients.
+ * @property tail spread of the durations; they are log-normal with this standard deviation of the logarithm.
+ */
+data class EmulatedDay(
+    val name: String,
+    val services: List<EmulatedService>,
+    val routes: List<EmulatedRoute>,
+    val faults: List<EmulatedFault> = emptyList(),
+    val zones: Int = 4,
+    val durationMs: Long = 30_000,
+    val tail: Double = 0.8,
+    val betweenZonesMs: Long = 1,
+    val toClientMs: Long = 3,
+)
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedNode.kt
@@ -0,0 +1,42 @@
+package dev.lycheehill.measure.emulator
+
+import dev.lycheehill.calls.balancing.TargetInfo
+import dev.lycheehill.calls.balancing.TargetPicker
+import dev.lycheehill.calls.balancing.WaitAwarePicker
+import dev.lycheehill.calls.verdict.BudgetedRetryPolicy
+import dev.lycheehill.calls.verdict.RetryBudget
+import dev.lycheehill.calls.verdict.RetryPolicy
+
+/** What one node knows as a caller's node. */
+internal class EmulatedNode(
+    private val fleet: EmulatedFleet,
+    val zone: String,
+    private val seed: Long,
+) {
+    /** Choice of targets and retries of one service. */
+    class ServiceCalls(
+        val picker: TargetPicker,
+        val retries: RetryPolicy,
+    )
+
+    private val byService = HashMap<String, ServiceCalls>()
+
+    // Changes with each start.
+    var boot = 0L
+        private set
+
+    fun callsTo(service: String): ServiceCalls = byService.getOrPut(service) { newCalls(service) }
+
+    /** Loses all that it knows. */
+    fun restart() {
+        boot++
+        byService.clear()
+    }
+
+    private fun newCalls(service: String): ServiceCalls {
+        val picker = WaitAwarePicker(zone, seed + boot, fleet.policy.picker)
+        picker.update(fleet.serversOf(service).map { TargetInfo(it.id, it.zone, it.id, it.service.slots) }, fleet.timers.nowNanos())
+        val budget = RetryBudget(percent = fleet.policy.budgetPercent, floor = 2)
+        return ServiceCalls(picker, BudgetedRetryPolicy(budget, maxMoves = fleet.policy.maxMoves, maxDetours = 4, countsChildren = false))
+    }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedServer.kt
@@ -0,0 +1,182 @@
+package dev.lycheehill.measure.emulator
+
+import dev.lycheehill.calls.admission.AdmissionCall
+import dev.lycheehill.calls.admission.AdmissionListener
+import dev.lycheehill.calls.admission.AdmissionResult
+import dev.lycheehill.calls.admission.CallCost
+import dev.lycheehill.calls.admission.CallPriority
+import dev.lycheehill.calls.admission.ChildPressure
+import dev.lycheehill.calls.admission.SlotAdmission
+import dev.lycheehill.calls.balancing.LoadReport
+import dev.lycheehill.core.time.NANOS_PER_MILLI
+import java.util.SplittableRandom
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.math.sqrt
+
+/** A backend server with its node: the production admission before an emulated number of slots. */
+internal class EmulatedServer(
+    private val fleet: EmulatedFleet,
+    val service: EmulatedService,
+    val id: String,
+    val zone: String,
+    private val index: Int,
+    private val random: SplittableRandom,
+) {
+    private val timers = fleet.timers
+    private var admission = newAdmission()
+
+    /** Reduction of routes whose calls are refused. */
+    var pressure = newPressure()
+        private set
+
+    // Changes with each start, so that what was running before ends unheard.
+    var boot = 0L
+        private set
+    private var coldUntilMs = 0L
+    private var meanNanos = 0.0
+
+    // Backend servers of one service differ in speed.
+    private val slowness = SLOWEST - random.nextDouble() * (SLOWEST - FASTEST)
+
+    /** Loses all that it knows and holds; it is slow for some seconds. */
+    fun restart(nowMs: Long) {
+        boot++
+        admission = newAdmission()
+        pressure = newPressure()
+        coldUntilMs = nowMs + COLD_MS
+    }
+
+    /** Load that an answer carries. */
+    fun load() = LoadReport(admission.inFlight, meanNanos.toLong(), admission.queued, service.slots)
+
+    /** Drops what has waited too long. */
+    fun tick() = admission.onTick(timers.nowNanos())
+
+    /** Takes [arrival]; its answer comes later. */
+    fun offer(arrival: Arrival) {
+        val now = timers.nowNanos()
+        val call = arrival.call
+        val reduced = !call.isChild && pressure?.admits(call.route.name, random.nextDouble(), now) == false
+        if (reduced) return arrival.refuse(PRESSURE_RETRY_MS)
+        val admitted = admissionCall(arrival)
+        when (val result = admission.offer(admitted, now)) {
+            is AdmissionResult.Admitted -> run(admitted, arrival)
+            is AdmissionResult.Rejected -> arrival.refuse(result.retryAfterMs)
+            is AdmissionResult.Queued -> Unit
+        }
+    }
+
+    private fun admissionCall(arrival: Arrival): AdmissionCall {
+        val call = arrival.call
+        val policy = fleet.policy
+        return AdmissionCall(
+            route = call.route.name,
+            priority = if (policy.keepsPriorities) call.route.priority else CallPriority.NORMAL,
+            cost = CallCost.LEARNED,
+            sizeBytes = 0,
+            deadline = call.deadline,
+            aim = call.aim,
+            acceptsLate = arrival.acceptsLate,
+            isChild = call.isChild && policy.keepsChildrenFirst,
+            listener =
+                object : AdmissionListener {
+                    override fun onStart(
+                        call: AdmissionCall,
+                        nowNanos: Long,
+                    ) = run(call, arrival)
+
+                    override fun onDropped(
+                        call: AdmissionCall,
+                        rejection: AdmissionResult.Rejected,
+                    ) = arrival.refuse(rejection.retryAfterMs)
+                },
+        )
+    }
+
+    private fun run(
+        admitted: AdmissionCall,
+        arrival: Arrival,
+    ) {
+        val now = timers.nowNanos()
+        val nowMs = now / NANOS_PER_MILLI
+        val fault = fleet.failureOf(service.name, index, nowMs, random.nextDouble())
+        if (fault != null || admitted.deadline.isExpired(now)) {
+            admission.onFinish(admitted, now, succeeded = false)
+            if (fault is EmulatedFault.Failing) arrival.answer(succeeded = false) else arrival.refuse(BACKEND_RETRY_MS, arrived = true)
+            return
+        }
+        val cold = if (nowMs < coldUntilMs) COLD_FACTOR else 1.0
+        val factor = slowness * cold * fleet.slownessOf(service.name, index, nowMs)
+        val durationMs = maxOf(1L, (arrival.call.route.workMs * factor * logNormal()).toLong())
+        val leftMs = admitted.deadline.remainingMs(now)
+        val running = boot
+        val end = { succeeded: Boolean -> if (running == boot) finish(admitted, arrival, succeeded) }
+        if (durationMs > leftMs) {
+            timers.after(leftMs) { end(false) }
+            return
+        }
+        timers.after(durationMs / 2) {
+            if (running ==
+                boot
+            ) {
+                callChildren(
+                    arrival,
+                    childCalls(arrival.call.route),
+                ) { ok -> if (ok) timers.after(durationMs / 2) { end(true) } else end(false) }
+            }
+        }
+    }
+
+    private fun childCalls(route: EmulatedRoute): Int {
+        val whole = route.childCalls.toInt()
+        return whole + if (random.nextDouble() < route.childCalls - whole) 1 else 0
+    }
+
+    private fun callChildren(
+        arrival: Arrival,
+        count: Int,
+        then: (Boolean) -> Unit,
+    ) {
+        val child = arrival.call.route.child
+        if (count == 0 || child == null) return then(true)
+        fleet.childCall(child, this, arrival.call) { outcome ->
+            val counts = outcome.isRefused && (fleet.policy.countsBackendRefusals || !outcome.arrived)
+            pressure?.onChildEnd(arrival.call.route.name, counts, timers.nowNanos())
+            if (outcome.succeeded) callChildren(arrival, count - 1, then) else then(false)
+        }
+    }
+
+    private fun finish(
+        admitted: AdmissionCall,
+        arrival: Arrival,
+        succeeded: Boolean,
+    ) {
+        val now = timers.nowNanos()
+        val tookNanos = (now - arrival.startNanos).toDouble()
+        meanNanos = if (meanNanos == 0.0) tookNanos else meanNanos + (tookNanos - meanNanos) * SMOOTHING
+        admission.onFinish(admitted, now, succeeded)
+        arrival.answer(succeeded)
+    }
+
+    private fun logNormal(): Double {
+        val gaussian = sqrt(-2 * ln(1 - random.nextDouble())) * kotlin.math.cos(2 * Math.PI * random.nextDouble())
+        return exp(fleet.day.tail * gaussian - fleet.day.tail * fleet.day.tail / 2)
+    }
+
+    private fun newAdmission() = SlotAdmission(fleet.policy.admission.copy(slots = service.slots))
+
+    private fun newPressure(): ChildPressure? = fleet.policy.childPressure?.let(::ChildPressure)
+
+    private companion object {
+        const val SLOWEST = 1.2
+        const val FASTEST = 0.8
+        const val COLD_MS = 3_000L
+        const val COLD_FACTOR = 1.6
+        const val SMOOTHING = 0.1
+
+        // As the node's data path does.
+        const val PRESSURE_RETRY_MS = 500L
+        const val BACKEND_RETRY_MS = 100L
+    }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/PolicyComparison.kt
@@ -0,0 +1,42 @@
+package dev.lycheehill.measure.emulator
+
+import kotlin.math.sqrt
+
+/**
+ * Results of one policy on one day over several seeds, beside those of the policy as built with the same seeds.
+ *
+ * @property difference mean of the figure less that of the policy as built.
+ * @property error half of the interval that holds the true difference in 95 of 100 cases.
+ */
+class PolicyComparison(
+    val day: String,
+    val policy: String,
+    results: List<DayResult>,
+    reference: List<DayResult>,
+) {
+    private val differences = results.zip(reference) { own, other -> own.figure - other.figure }
+
+    val figure: Double = results.map { it.figure }.average()
+    val worth: Double = results.map { it.worth }.average()
+    val worstWindows: Double = results.map { it.worstWindows }.average()
+    val served: Double = results.map { it.served }.average()
+    val refusedAgain: Double = results.map { it.refusedAgain }.average()
+    val difference: Double = differences.average()
+    val error: Double = INTERVAL * deviation(differences) / sqrt(differences.size.toDouble())
+
+    /** One line for the report. */
+    fun line(): String =
+        "%-16s %-18s figure=%.3f worth=%.3f windows=%.3f served=%.3f refused-again=%.3f difference=%+.4f +-%.4f"
+            .format(day, policy, figure, worth, worstWindows, served, refusedAgain, difference, error)
+
+    private fun deviation(values: List<Double>): Double {
+        if (values.size < 2) return 0.0
+        val mean = values.average()
+        return sqrt(values.sumOf { (it - mean) * (it - mean) } / (values.size - 1))
+    }
+
+    private companion object {
+        // Student's t for about twenty seeds.
+        const val INTERVAL = 2.09
+    }
+}
