--- a/cli/src/main/kotlin/dev/lycheehill/cli/logs/RequestExplanation.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/logs/RequestExplanation.kt
@@ -99,7 +99,6 @@
             mapOf(
                 "queue-time" to "the instance could not have answered in time",
                 "queue-full" to "the queue of the instance was full",
-                "child-pressure" to "calls of this route to other services were being refused",
                 "backend-refused" to "the backend server itself refused",
                 "backend-down" to "the backend server accepted no connection",
                 "draining" to "the backend server was leaving",
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -1,7 +1,6 @@
 package dev.lycheehill.node
 
 import dev.lycheehill.calls.admission.CallAges
-import dev.lycheehill.calls.admission.ChildPressure
 import dev.lycheehill.calls.quarantine.CrashQuarantine
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.core.time.Subscription
@@ -75,7 +74,6 @@
     private val group: EventLoopGroup = edges.group ?: transport.newGroup(settings.eventLoops, "lycheehill-data")
     private val decisions = DecisionLog()
     private val running = RunningRequests()
-    private val pressure = ChildPressure()
     private val ticks = AdmissionTicks(admission, timers, ADMISSION_TICK_MS)
     private val loops = LoopContexts(group, transport, settings)
     private val crashes = CrashWatch(quarantine, evidence, fleet, timers)
@@ -177,7 +175,6 @@
                 dialect,
                 decisions,
                 CallAges(),
-                pressure,
                 running,
             ),
         )
@@ -204,7 +201,6 @@
                 fleet.self.nodeId,
                 decisions,
                 running,
-                pressure,
             ),
         )
 
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/AttemptCounts.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/AttemptCounts.kt
@@ -21,10 +21,6 @@
     var detours = 0
         private set
 
-    /** Whether the latest attempt reached a backend server. */
-    var lastArrived = false
-        private set
-
     /** Number of the latest attempt among those that count as tries at a backend server; see [FailedAttempt.number]. */
     val tries: Int get() = attempts - moves - detours
 
@@ -33,7 +29,6 @@
     }
 
     fun onEnd(outcome: GivenUp) {
-        lastArrived = outcome.arrived
         if (outcome.arrived) arrivals++
     }
 
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -47,8 +47,7 @@
     private val idempotent = decision.isIdempotent(call.method.name())
     private val deadline =
         Deadline.received(environment.dialect.deadlineMs(call.headers), decision.timeoutMs.toLong(), startNanos)
-    private val parentRoute = environment.parentRouteOf(call)
-    private val isChild = parentRoute != null
+    private val isChild = environment.isChild(call)
     private val ageMs = if (isChild) 0 else ageOf(environment.dialect.deadlineMs(call.headers))
     private val template = RequestTemplate(call, decision, home?.domain, environment.settings.callerService, isChild)
     private val tried = ArrayList<String>(2)
@@ -367,9 +366,6 @@
         answer.release()
         val now = System.nanoTime()
         meters.callFinished(verdict, now - startNanos)
-        // A backend server that refuses by itself has slots free; fewer requests of the parent's route would not help.
-        val refusedForLoad = verdict == Verdict.NOT_RUN && reason != CALLER_GONE && !counts.lastArrived
-        parentRoute?.let { environment.pressure.onChildEnd(it, refusedForLoad, now) }
         val result =
             HopResult(
                 route = routeName,
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressEnvironment.kt
@@ -1,7 +1,6 @@
 package dev.lycheehill.node.egress
 
 import dev.lycheehill.calls.admission.CallAges
-import dev.lycheehill.calls.admission.ChildPressure
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.fleet.FleetView
 import dev.lycheehill.node.DataPathSettings
@@ -32,11 +31,10 @@
     val dialect: CallDialect,
     val decisions: DecisionLog,
     val ages: CallAges,
-    val pressure: ChildPressure,
     private val running: RunningRequests,
 ) {
-    /** Route of the running request for which the backend server beside this node made [call]; null when there is none. */
-    fun parentRouteOf(call: InboundCall): String? = dialect.requestId(call.headers)?.let(dialect::parentOf)?.let(running::routeOf)
+    /** Whether the backend server beside this node made [call] for a request that it is running. */
+    fun isChild(call: InboundCall): Boolean = dialect.requestId(call.headers)?.let(dialect::parentOf)?.let(running::contains) == true
 
     /** Writes the log line about the end of [call]. */
     fun log(
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -90,11 +90,6 @@
             refuse(HttpResponseStatus.UNPROCESSABLE_ENTITY, "quarantined", null)
             return
         }
-        if (!admitted.isChild && !environment.pressure.admits(admitted.route, loop.random.nextDouble(), now)) {
-            environment.metrics.shed(ShedReason.CHILD_PRESSURE)
-            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "child-pressure", CHILD_PRESSURE_RETRY_MS)
-            return
-        }
         when (val result = environment.admission.offer(admitted, now)) {
             is AdmissionResult.Admitted -> run(now)
             is AdmissionResult.Rejected -> refuse(result)
@@ -219,7 +214,7 @@
         startNanos = nowNanos
         environment.metrics.queued(Priority.entries[admitted.priority.ordinal], nowNanos - arrivedNanos)
         environment.target.callStarted()
-        requestId?.let { environment.running.started(it, admitted.route) }
+        requestId?.let(environment.running::started)
         if (treeId != null) environment.allowances.start(treeId, RetryAllowance.received(call.headers.get(CallHeaders.RETRIES_LEFT)))
         send(address, nowNanos)
     }
@@ -379,8 +374,5 @@
         const val DEFAULT_TIMEOUT_MS = 600_000L
         val closedKinds = setOf(ExchangeFailure.Kind.CLOSED, ExchangeFailure.Kind.TRUNCATED)
         const val RETRY_MS = 100L
-
-        // Several reviews of the pressure.
-        const val CHILD_PRESSURE_RETRY_MS = 500L
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressEnvironment.kt
@@ -1,7 +1,6 @@
 package dev.lycheehill.node.ingress
 
 import dev.lycheehill.calls.admission.AdmissionControl
-import dev.lycheehill.calls.admission.ChildPressure
 import dev.lycheehill.calls.verdict.CallTreeAllowances
 import dev.lycheehill.node.DataPathSettings
 import dev.lycheehill.node.dialect.CallDialect
@@ -30,5 +29,4 @@
     val nodeId: String,
     val decisions: DecisionLog,
     val running: RunningRequests,
-    val pressure: ChildPressure,
 )
--- a/node/src/main/kotlin/dev/lycheehill/node/metrics/ShedReason.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/metrics/ShedReason.kt
@@ -9,7 +9,6 @@
     DRAINING,
     QUARANTINED,
     BACKEND,
-    CHILD_PRESSURE,
     KEY_TABLE_FULL,
     NO_MAJORITY,
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/target/RunningRequests.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/RunningRequests.kt
@@ -2,21 +2,18 @@
 
 import java.util.concurrent.ConcurrentHashMap
 
-/** Routes of the requests that the backend server beside this node is running, by name of the request. Thread-safe. */
+/** Names of the requests that the backend server beside this node is running. Thread-safe. */
 internal class RunningRequests {
-    private val routes = ConcurrentHashMap<String, String>()
+    private val names: MutableSet<String> = ConcurrentHashMap.newKeySet()
 
-    fun started(
-        name: String,
-        route: String,
-    ) {
-        routes[name] = route
+    fun started(name: String) {
+        names.add(name)
     }
 
     fun ended(name: String) {
-        routes.remove(name)
+        names.remove(name)
     }
 
-    /** Returns the route of the running request [name], or null when there is none. */
-    fun routeOf(name: String): String? = routes[name]
+    /** Whether the request [name] is running. */
+    operator fun contains(name: String): Boolean = name in names
 }
