--- a/node/src/main/kotlin/dev/lycheehill/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/metrics/NodeMetrics.kt
@@ -19,7 +19,7 @@
  * Meters of one node.
  *
  * Each meter is made when it is first used: those with a fixed set of labels here, those of a route in [route]. After that,
- * recording takes no lock and allocates nothing. Gauges read 0 until [bindGauge] gives them a source.
+ * recording takes no lock. Gauges read 0 until [bindGauge] gives them a source.
  *
  * @param isDeferred whether recordings are kept until [open] or a scrape, as the first meters cost as much as many calls.
  */
