--- a/node/src/main/kotlin/dev/lycheehill/node/http/StrictRequestDecoder.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/StrictRequestDecoder.kt
@@ -13,6 +13,9 @@
             .setMaxInitialLineLength(settings.maxInitialLineBytes)
             .setMaxHeaderSize(settings.maxHeaderBytes),
     ) {
+    // The default reads the annotations of the class, which costs a start some milliseconds.
+    override fun isSharable(): Boolean = false
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/logging/StructuredLogs.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/logging/StructuredLogs.kt
@@ -1,6 +1,5 @@
 package dev.lycheehill.node.logging
 
-import ch.qos.logback.classic.AsyncAppender
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.encoder.JsonEncoder
@@ -10,8 +9,6 @@
 
 /** Log lines as JSON on standard output. Writing does not block: when the queue is full, lines are dropped. */
 object StructuredLogs {
-    private const val QUEUE_LINES = 1_024
-
     /** Configures [context]. */
     fun configure(context: LoggerContext) {
         val encoder = JsonEncoder()
@@ -26,11 +23,8 @@
         console.context = context
         console.encoder = encoder
         console.start()
-        val queue = AsyncAppender()
+        val queue = NonBlockingAppender(console)
         queue.context = context
-        queue.queueSize = QUEUE_LINES
-        queue.isNeverBlock = true
-        queue.addAppender(console)
         queue.start()
         val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
         root.level = Level.INFO
