--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DayResult.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DayResult.kt
@@ -7,7 +7,8 @@
  * @property worstWindows the same in the two worst windows of two seconds.
  * @property served requests that were answered with success.
  * @property refusedAgain requests that came back after a refusal and were refused again.
- * @property returns requests that came back after a refusal.
+ * @property sendsPerRequest calls that nodes sent for each request; each costs both nodes processor time.
+ * @property betweenZones calls that a node sent to another availability zone, whose bytes cost more.
  */
 data class DayResult(
     val worth: Double,
@@ -15,7 +16,8 @@
     val worthByRoute: Map<String, Double>,
     val served: Double,
     val refusedAgain: Double,
-    val returns: Double,
+    val sendsPerRequest: Double,
+    val betweenZones: Double,
 ) {
     /** Worst kind of request. */
     val worstRoute: Double get() = worthByRoute.values.min()
--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DayTally.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DayTally.kt
@@ -9,17 +9,18 @@
         var earned = 0.0
         var asked = 0
         var served = 0
-        var inAim = 0
     }
 
     private val byRoute = day.routes.associate { it.name to Cell() }
     private val byWindow = List((day.durationMs / WINDOW_MS).toInt() + 1) { Cell() }
     private var refusedAgain = 0
-    private var returns = 0
+    private var sent = 0
+    private var sentBetweenZones = 0
 
-    /** A refused client of [route] comes back. */
-    fun cameBack(route: EmulatedRoute) {
-        if (route.callsPerSecond > 0) returns++
+    /** A node has sent a call to a backend server of its own availability zone or of another. */
+    fun sent(betweenZones: Boolean) {
+        sent++
+        if (betweenZones) sentBetweenZones++
     }
 
     /** A request that was first sent at [sentMs] has ended after [tookMs]. */
@@ -44,7 +45,6 @@
             cell.earned += worth
             cell.asked++
             if (succeeded) cell.served++
-            if (inAim) cell.inAim++
         }
         if (refusedAgain) this.refusedAgain++
     }
@@ -59,7 +59,8 @@
             worthByRoute = cells.mapValues { (_, cell) -> cell.earned / cell.owed },
             served = cells.values.sumOf { it.served }.toDouble() / asked,
             refusedAgain = refusedAgain.toDouble() / asked,
-            returns = returns.toDouble() / asked,
+            sendsPerRequest = sent.toDouble() / asked,
+            betweenZones = sentBetweenZones.toDouble() / sent.coerceAtLeast(1),
         )
     }
 
--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedCall.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedCall.kt
@@ -46,6 +46,7 @@
         calls.picker.onStart(target, now)
         val server = fleet.server(target.info.id)
         val wayMs = fleet.wayMs(node.zone, server.zone)
+        fleet.tally.sent(betweenZones = node.zone != server.zone)
         val boot = node.boot
         timers.after(wayMs) {
             val arrival =
--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedClient.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedClient.kt
@@ -42,7 +42,6 @@
         when {
             outcome.succeeded -> end(succeeded = true, isRefused = false)
             attempt < nodes.size && mayRepeat -> {
-                if (outcome.isRefused) tally.cameBack(route)
                 val leftMs = deadline.remainingMs(timers.nowNanos())
                 timers.after(minOf(outcome.retryAfterMs ?: 0, leftMs / SHARE_OF_TIME_LEFT)) { send() }
             }
--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedFleet.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedFleet.kt
@@ -18,17 +18,19 @@
     private val servers =
         day.services
             .flatMap { service ->
+                // Which of the servers are the slow ones is left to chance.
+                val turn = random.nextInt(day.speeds.size)
                 zones.flatMap { zone ->
                     List(service.servers) { index ->
                         val rank = zones.indexOf(zone) + index * zones.size
-                        EmulatedServer(this, service, "${service.name}-$zone-$index", zone, rank, random.split())
+                        EmulatedServer(this, service, "${service.name}-$zone-$index", zone, rank, day.speeds[(rank + turn) % day.speeds.size], random.split())
                     }
                 }
             }.associateBy { it.id }
     private val nodes = servers.values.associate { it.id to EmulatedNode(this, it.zone, random.nextLong()) }
     private val byService = servers.values.groupBy { it.service.name }
     private val nodesByZone = servers.values.groupBy({ it.zone }) { nodes.getValue(it.id) }
-    private val tally = DayTally(day)
+    internal val tally = DayTally(day)
 
     /** Whether all machines are without power. */
     internal var isDown = false
--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedServer.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedServer.kt
@@ -21,6 +21,7 @@
     val id: String,
     val zone: String,
     private val index: Int,
+    private val speed: Double,
     private val random: SplittableRandom,
 ) {
     private val timers = fleet.timers
@@ -32,9 +33,6 @@
     private var coldUntilMs = 0L
     private var meanNanos = 0.0
 
-    // Backend servers of one service differ in speed.
-    private val slowness = SLOWEST - random.nextDouble() * (SLOWEST - FASTEST)
-
     /** Loses all that it knows and holds; it is slow for some seconds. */
     fun restart(nowMs: Long) {
         boot++
@@ -99,8 +97,8 @@
             return
         }
         val cold = if (nowMs < coldUntilMs) COLD_FACTOR else 1.0
-        val factor = slowness * cold * fleet.slownessOf(service.name, index, nowMs)
-        val durationMs = maxOf(1L, (arrival.call.route.workMs * factor * logNormal()).toLong())
+        val factor = cold * fleet.slownessOf(service.name, index, nowMs)
+        val durationMs = maxOf(1L, (arrival.call.route.workMs / speed * factor * logNormal()).toLong())
         val leftMs = admitted.deadline.remainingMs(now)
         val running = boot
         val end = { succeeded: Boolean -> if (running == boot) finish(admitted, arrival, succeeded) }
@@ -153,8 +151,6 @@
     private fun newAdmission() = SlotAdmission(fleet.policy.admission.copy(slots = service.slots))
 
     private companion object {
-        const val SLOWEST = 1.2
-        const val FASTEST = 0.8
         const val COLD_MS = 3_000L
         const val COLD_FACTOR = 1.6
         const val SMOOTHING = 0.1
--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/PolicyComparison.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/PolicyComparison.kt
@@ -21,13 +21,15 @@
     val worstWindows: Double = results.map { it.worstWindows }.average()
     val served: Double = results.map { it.served }.average()
     val refusedAgain: Double = results.map { it.refusedAgain }.average()
+    val sendsPerRequest: Double = results.map { it.sendsPerRequest }.average()
+    val betweenZones: Double = results.map { it.betweenZones }.average()
     val difference: Double = differences.average()
     val error: Double = INTERVAL * deviation(differences) / sqrt(differences.size.toDouble())
 
     /** One line for the report. */
     fun line(): String =
-        "%-16s %-18s figure=%.3f worth=%.3f windows=%.3f served=%.3f refused-again=%.3f difference=%+.4f +-%.4f"
-            .format(day, policy, figure, worth, worstWindows, served, refusedAgain, difference, error)
+        "%-16s %-18s figure=%.3f worth=%.3f windows=%.3f served=%.3f refused-again=%.3f sends=%.3f between-zones=%.3f difference=%+.4f +-%.4f"
+            .format(day, policy, figure, worth, worstWindows, served, refusedAgain, sendsPerRequest, betweenZones, difference, error)
 
     private fun deviation(values: List<Double>): Double {
         if (values.size < 2) return 0.0
