Move a refused call once instead of twice

Hypothesis: after two refusals by the targets that seemed least loaded a third seldom has room, and the move costs processor time and bytes. The emulator takes the numbers from the policies now.

--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DecisionPolicies.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DecisionPolicies.kt
@@ -24,7 +24,7 @@
             asBuilt.copy(name = "no-refusal-share", admission = admission.copy(refusalSmoothing = 0.0)),
             asBuilt.copy(name = "refusals-pass", avoidsBackendRefusals = false),
             asBuilt.copy(name = "no-moves", maxMoves = 0),
-            asBuilt.copy(name = "one-move", maxMoves = 1),
+            asBuilt.copy(name = "two-moves", maxMoves = 2),
             asBuilt.copy(name = "no-retries", budgetPercent = 0),
             asBuilt.copy(name = "zones-equal", picker = picker.copy(otherZoneFactor = 1.0)),
             asBuilt.copy(name = "no-failure-share", picker = picker.copy(failureFactor = 0.0)),
--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DecisionPolicy.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DecisionPolicy.kt
@@ -2,6 +2,7 @@
 
 import dev.lycheehill.calls.admission.SlotAdmissionSettings
 import dev.lycheehill.calls.balancing.WaitAwareSettings
+import dev.lycheehill.node.policy.SlotPolicies
 
 /**
  * The decisions of the nodes under one name.
@@ -17,7 +18,7 @@
     val avoidsBackendRefusals: Boolean = true,
     val keepsPriorities: Boolean = true,
     val keepsChildrenFirst: Boolean = true,
-    val maxMoves: Int = 2,
+    val maxMoves: Int = SlotPolicies.DEFAULT_MOVES,
     val asksForLate: Boolean = true,
     val budgetPercent: Int = 10,
 )
--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedNode.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedNode.kt
@@ -6,6 +6,7 @@
 import dev.lycheehill.calls.verdict.BudgetedRetryPolicy
 import dev.lycheehill.calls.verdict.RetryBudget
 import dev.lycheehill.calls.verdict.RetryPolicy
+import dev.lycheehill.node.policy.SlotPolicies
 
 /** What one node knows as a caller's node. */
 internal class EmulatedNode(
@@ -36,7 +37,7 @@
     private fun newCalls(service: String): ServiceCalls {
         val picker = WaitAwarePicker(zone, seed + boot, fleet.policy.picker)
         picker.update(fleet.serversOf(service).map { TargetInfo(it.id, it.zone, it.id, it.service.slots) }, fleet.timers.nowNanos())
-        val budget = RetryBudget(percent = fleet.policy.budgetPercent, floor = 2)
-        return ServiceCalls(picker, BudgetedRetryPolicy(budget, maxMoves = fleet.policy.maxMoves, maxDetours = 4, countsChildren = false))
+        val budget = RetryBudget(percent = fleet.policy.budgetPercent, floor = SlotPolicies.RETRY_FLOOR)
+        return ServiceCalls(picker, BudgetedRetryPolicy(budget, maxMoves = fleet.policy.maxMoves, maxDetours = SlotPolicies.DEFAULT_DETOURS, countsChildren = false))
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/policy/SlotPolicies.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/policy/SlotPolicies.kt
@@ -48,14 +48,17 @@
         maxQueue: Int,
     ): AdmissionControl = SlotAdmission(SlotAdmissionSettings(slots = slots))
 
-    private companion object {
-        // The fleet's budget has a constant part of two retries or more for each node.
+    companion object {
+        /** Retries that each node may make in a window in any case; the fleet's budget has a constant part of two or more for each. */
         const val RETRY_FLOOR = 2
 
-        // When the two targets that seemed least loaded refuse, the others seldom have room, and each move costs processor time.
-        const val DEFAULT_MOVES = 2
+        /**
+         * When the two targets that seemed least loaded refuse, the others seldom have room; another move costs two nodes
+         * processor time and bytes between zones, and earns nothing.
+         */
+        const val DEFAULT_MOVES = 1
 
-        // A target that is not available says so at once.
+        /** A target that is not available says so at once. */
         const val DEFAULT_DETOURS = 4
     }
 }
