--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -37,9 +37,7 @@
     val service: ServiceCalls = environment.services.of(decision.service)
     val allowance: RetryAllowance =
         environment.allowances.forChild(TraceIds.treeOf(call.headers), call.headers.get(CallHeaders.RETRIES_LEFT))
-
-    // The time of the caller runs since before the request was read.
-    private val startNanos = System.nanoTime() - loop.readDelay.onRequest()
+    private val startNanos = System.nanoTime()
     private val span = environment.spans.start(Hop.EGRESS, call.headers.get(CallHeaders.TRACEPARENT))
     private val meters = environment.metrics.route(decision.route.name)
 
@@ -207,9 +205,7 @@
     private fun attempt() {
         val now = System.nanoTime()
         if (deadline.isExpired(now)) {
-            // Only a call that no target has got can promise that it has not run.
-            val status = if (counts.attempts == 0) HttpResponseStatus.SERVICE_UNAVAILABLE else HttpResponseStatus.GATEWAY_TIMEOUT
-            giveUp(GivenUp(Verdict.NOT_RUN, status, "deadline"), null)
+            giveUp(GivenUp(Verdict.NOT_RUN, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline"), null)
             return
         }
         service.refresh(environment.endpoints.targets(decision.service.name), now)
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -49,8 +49,8 @@
 ) : InboundCallListener,
     CollectorListener,
     AdmissionListener {
-    private val arrivedNanos = System.nanoTime() - loop.readDelay.onRequest()
-    private val deadline = Deadline.received(call.headers.get(CallHeaders.DEADLINE_MS), DEFAULT_TIMEOUT_MS, arrivedNanos)
+    private val deadline =
+        Deadline.received(call.headers.get(CallHeaders.DEADLINE_MS), DEFAULT_TIMEOUT_MS, System.nanoTime())
     private val admitted =
         AdmissionCall(
             route = call.headers.get(CallHeaders.ROUTE).orEmpty(),
@@ -59,13 +59,14 @@
             sizeBytes = call.body.readableBytes(),
             deadline = deadline,
             listener = this,
-            aim = Deadline.received(call.headers.get(CallHeaders.AIM_MS), DEFAULT_TIMEOUT_MS, arrivedNanos),
+            aim = Deadline.received(call.headers.get(CallHeaders.AIM_MS), DEFAULT_TIMEOUT_MS, System.nanoTime()),
             acceptsLate = call.headers.get(CallHeaders.AIM_MS) == null || call.headers.contains(CallHeaders.ACCEPTS_LATE),
             isChild = call.headers.contains(CallHeaders.CHILD),
         )
     private val requestId = environment.dialect.requestId(call.headers)
     private val treeId = TraceIds.treeOf(call.headers)
     private val span = environment.spans.start(Hop.INGRESS, call.headers.get(CallHeaders.TRACEPARENT))
+    private val arrivedNanos = System.nanoTime()
 
     // Most calls end without a crash and without a suspected request, so the hash is computed on demand.
     private val fingerprint by lazy(LazyThreadSafetyMode.NONE) { environment.crashes.fingerprintOf(call) }
--- a/node/src/main/kotlin/dev/lycheehill/node/loop/LoopContext.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/loop/LoopContext.kt
@@ -12,9 +12,6 @@
 ) {
     private var calls = 0L
 
-    /** How long requests have waited for this event loop. */
-    val readDelay = ReadDelay(atEndOfRound = eventLoop::execute)
-
     /** Returns an id that no other call of this event loop has. */
     fun nextCallId(): String = java.lang.Long.toString(++calls, Character.MAX_RADIX)
 
