--- a/measure/src/test/kotlin/dev/lycheehill/measure/emulator/EmulatedFleetTest.kt
+++ b/measure/src/test/kotlin/dev/lycheehill/measure/emulator/EmulatedFleetTest.kt
@@ -73,7 +73,23 @@
         expectThat(comparison.difference + comparison.error).isLessThan(0.0)
     }
 
+    /**
+     * Guards against nodes that pass refused calls around among full targets: each send costs two nodes processor time, and
+     * callers get nothing for it.
+     */
+    @ParameterizedTest
+    @CsvSource("short-crest", "long-crest", "short-called-crest")
+    fun `in a crest one move after a refusal serves callers as well as two, with fewer sends`(day: String) {
+        val one = compare(day, DecisionPolicies.asBuilt)
+        val two = compare(day, DecisionPolicies.all.getValue("two-moves"))
+        expectThat(two.difference).isLessThan(SAME_FIGURE)
+        expectThat(one.sendsPerRequest).isLessThan(two.sendsPerRequest)
+        expectThat(one.betweenZones).isLessThan(two.betweenZones)
+    }
+
     private companion object {
+        // A third of the fall that the users take for noise.
+        const val SAME_FIGURE = 0.01
         val SEEDS = (1L..6L).toList()
     }
 }
