--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedFleet.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedFleet.kt
@@ -15,18 +15,7 @@
     internal val timers = FakeTimerService()
     private val random = SplittableRandom(seed)
     private val zones = List(day.zones) { "zone-$it" }
-    private val servers =
-        day.services
-            .flatMap { service ->
-                // Which of the servers are the slow ones is left to chance.
-                val turn = random.nextInt(day.speeds.size)
-                zones.flatMap { zone ->
-                    List(service.servers) { index ->
-                        val rank = zones.indexOf(zone) + index * zones.size
-                        EmulatedServer(this, service, "${service.name}-$zone-$index", zone, rank, day.speeds[(rank + turn) % day.speeds.size], random.split())
-                    }
-                }
-            }.associateBy { it.id }
+    private val servers = day.services.flatMap(::newServers).associateBy { it.id }
     private val nodes = servers.values.associate { it.id to EmulatedNode(this, it.zone, random.nextLong()) }
     private val byService = servers.values.groupBy { it.service.name }
     private val nodesByZone = servers.values.groupBy({ it.zone }) { nodes.getValue(it.id) }
@@ -93,6 +82,25 @@
         EmulatedCall(this, nodes.getValue(from.id), child, deadline, aim, isChild = true, end).start()
     }
 
+    private fun newServers(service: EmulatedService): List<EmulatedServer> {
+        // Which of the servers are the slow ones is left to chance.
+        val turn = random.nextInt(day.speeds.size)
+        return zones.flatMapIndexed { zoneIndex, zone ->
+            List(service.servers) { index ->
+                val rank = zoneIndex + index * zones.size
+                EmulatedServer(
+                    fleet = this,
+                    service = service,
+                    id = "${service.name}-$zone-$index",
+                    zone = zone,
+                    index = rank,
+                    speed = day.speeds[(rank + turn) % day.speeds.size],
+                    random = random.split(),
+                )
+            }
+        }
+    }
+
     private fun schedule(fault: EmulatedFault.PowerOff) {
         timers.after(fault.fromMs) { isDown = true }
         timers.after(fault.untilMs) {
--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedNode.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/EmulatedNode.kt
@@ -38,6 +38,13 @@
         val picker = WaitAwarePicker(zone, seed + boot, fleet.policy.picker)
         picker.update(fleet.serversOf(service).map { TargetInfo(it.id, it.zone, it.id, it.service.slots) }, fleet.timers.nowNanos())
         val budget = RetryBudget(percent = fleet.policy.budgetPercent, floor = SlotPolicies.RETRY_FLOOR)
-        return ServiceCalls(picker, BudgetedRetryPolicy(budget, maxMoves = fleet.policy.maxMoves, maxDetours = SlotPolicies.DEFAULT_DETOURS, countsChildren = false))
+        val retries =
+            BudgetedRetryPolicy(
+                budget = budget,
+                maxMoves = fleet.policy.maxMoves,
+                maxDetours = SlotPolicies.DEFAULT_DETOURS,
+                countsChildren = false,
+            )
+        return ServiceCalls(picker, retries)
     }
 }
