State in the emulator's policies that one of them brings back what was removed

Found on the last reading: the page of code said that each policy switches one mechanism off, but two-moves adds one.

--- a/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DecisionPolicies.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/emulator/DecisionPolicies.kt
@@ -3,7 +3,7 @@
 import dev.lycheehill.calls.admission.SlotAdmissionSettings
 import dev.lycheehill.calls.balancing.WaitAwareSettings
 
-/** The decisions as built, and the same with one mechanism switched off. */
+/** The decisions as built, and the same with one mechanism switched off or, for `two-moves`, one that was removed. */
 object DecisionPolicies {
     /** The decisions that nodes make. */
     val asBuilt = DecisionPolicy("as-built")
