--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -10,10 +10,13 @@
 import dev.lycheehill.fleet.membership.Departure
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
+import dev.lycheehill.platformlog.keyed.EpochTrackingStore
 import dev.lycheehill.platformlog.keyed.KeyedRecord
 import dev.lycheehill.platformlog.keyed.KeyedStore
 import dev.lycheehill.platformlog.keyed.KeyedTopic
 import dev.lycheehill.platformlog.keyed.ReaderRole
+import dev.lycheehill.platformlog.keyed.StoreEpoch
+import dev.lycheehill.platformlog.keyed.StoreEpochTracker
 import dev.lycheehill.platformlog.keyed.StoreError
 import dev.lycheehill.platformlog.keyed.TopicFollower
 import kotlin.random.Random
@@ -36,7 +39,7 @@
  */
 class StoreFleet(
     identity: MemberRecord,
-    private val store: KeyedStore,
+    store: KeyedStore,
     private val decode: ConfigurationDecoder,
     private val peers: PeerChannel,
     private val timers: TimerService,
@@ -46,14 +49,16 @@
 ) : FleetView {
     private val random = Random(seed)
     private val members = ObservedMembers(identity, timers, settings)
-    private val publisher = RecordPublisher(store, timers, settings, random, onChange)
+    private val epochs = StoreEpochTracker(::onStoreRestored)
+    private val store: KeyedStore = EpochTrackingStore(store, epochs)
+    private val publisher = RecordPublisher(this.store, timers, settings, random, onChange)
     private val heartbeatSchedule = HeartbeatSchedule(settings, random)
     private val configurationFollower =
-        TopicFollower(store, KeyedTopic.CONFIGURATION, timers, settings.follower, random, members::role, ::onConfigurationRecord) {
+        TopicFollower(this.store, KeyedTopic.CONFIGURATION, timers, settings.follower, random, members::role, ::onConfigurationRecord) {
             onConfigurationStoreResult(it)
         }
     private val directoryReader =
-        DirectoryReader(store, timers, settings, random, ::onMemberRecord, ::onDirectoryRead) { reportStoreResult(KeyedTopic.MEMBERS, it) }
+        DirectoryReader(this.store, timers, settings, random, ::onMemberRecord, ::onDirectoryRead) { reportStoreResult(KeyedTopic.MEMBERS, it) }
     private var subscription: Subscription? = null
     private var isSyncing = false
 
@@ -81,6 +86,9 @@
     /** Whether the last call to the store failed. */
     val isStoreFailing: Boolean get() = configurationFollower.isFailing || directoryReader.isLost
 
+    /** Epoch of the store according to its responses; [StoreEpoch.UNKNOWN] before the first one. */
+    val storeEpoch: Long get() = epochs.current
+
     override fun members(): Map<String, MemberRecord> = members.view
 
     override fun foldState(): FoldState = state
@@ -281,6 +289,8 @@
         isStoreUnresponsive = error is StoreError.Unknown
     }
 
+    private fun onStoreRestored(epoch: Long) = onChange(StoreFleetEvent.StoreRestored(epoch))
+
     private fun reportStoreResult(
         topic: KeyedTopic,
         error: StoreError?,
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetEvent.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetEvent.kt
@@ -43,6 +43,11 @@
         val topic: KeyedTopic,
     ) : StoreFleetEvent
 
+    /** The store was restored from an older copy and has started [epoch]. */
+    data class StoreRestored(
+        val epoch: Long,
+    ) : StoreFleetEvent
+
     /** Writing the record of this node failed and is retried. */
     data class RecordNotWritten(
         val reason: String,
--- a/node/src/main/kotlin/dev/lycheehill/node/metrics/NodeMeter.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/metrics/NodeMeter.kt
@@ -45,6 +45,7 @@
     LOG_READER("lycheehill.log.reader", GAUGE, "0 or 1", emptyList(), "1 when this node follows the log for its zone"),
     LOG_AGE("lycheehill.log.age", GAUGE, "seconds", emptyList(), "time since the newest confirmation of the log's end"),
     LOG_DIVERGENCE("lycheehill.log.divergence", GAUGE, "0 or 1", emptyList(), "1 when the log contradicts what this node has folded"),
+    STORE_EPOCH("lycheehill.store.epoch", GAUGE, "epoch", emptyList(), "epoch of the store, which rises when it is restored from a copy"),
     CONTROL_BYTES("lycheehill.control.bytes", COUNTER, "bytes", listOf("direction"), "bytes of messages between nodes"),
     MEMBERS("lycheehill.members", GAUGE, "members", listOf("state"), "members that this node knows, by state"),
     ;
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
@@ -100,6 +100,7 @@
     /** Starts to serve calls and to follow the store. */
     fun start() {
         metrics.bindGauge(NodeMeter.LOG_UP) { if (fleet.isStoreFailing) 0 else 1 }
+        metrics.bindGauge(NodeMeter.STORE_EPOCH) { fleet.storeEpoch }
         MemberState.entries.forEach { state -> metrics.bindMembers(state) { fleet.members().values.count { it.state == state } } }
         peerLink.addresses = { (fleet.members() - settings.nodeId).values.map { it.controlAddress } }
         peerLink.onCrash = { evidence ->
@@ -208,6 +209,8 @@
             is StoreFleetEvent.RecordUnreadable -> decisions.write("member-unreadable", "key" to event.key, "reason" to event.reason)
             is StoreFleetEvent.StoreLost -> decisions.write("store-lost", "topic" to event.topic, "reason" to event.reason)
             is StoreFleetEvent.StoreRegained -> decisions.write("store-regained", "topic" to event.topic)
+            is StoreFleetEvent.StoreRestored ->
+                decisions.write("store-restored", "epoch" to event.epoch, "version" to fleet.foldState().version)
             is StoreFleetEvent.RecordNotWritten -> decisions.write("record-not-written", "reason" to event.reason)
             is StoreFleetEvent.RecordWritten ->
                 decisions.write("record-written", "incarnation" to event.incarnation, "failures" to event.failures)
--- /dev/null
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/StoreEpochTracker.kt
@@ -0,0 +1,29 @@
+package dev.lycheehill.platformlog.keyed
+
+/**
+ * Tracks the epoch of the store by the responses that a node receives. Confined to one thread, except that [current] may be
+ * read by any thread.
+ *
+ * @param onRestore called with the new epoch when the first response shows that the store was restored from an older copy.
+ */
+class StoreEpochTracker(
+    private val onRestore: (epoch: Long) -> Unit,
+) {
+    /** Highest epoch of all responses so far; [StoreEpoch.UNKNOWN] before the first response that names one. */
+    @Volatile
+    var current = StoreEpoch.UNKNOWN
+        private set
+
+    /**
+     * Records that a response names [epoch]. Returns false if the response is from an earlier epoch, so that what it acknowledges or
+     * describes may have been lost since.
+     */
+    fun observe(epoch: Long): Boolean {
+        if (epoch == StoreEpoch.UNKNOWN) return true
+        val previous = current
+        if (epoch < previous) return false
+        current = epoch
+        if (epoch > previous && previous != StoreEpoch.UNKNOWN) onRestore(epoch)
+        return true
+    }
+}
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/memory/InMemoryKeyedStore.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/memory/InMemoryKeyedStore.kt
@@ -10,6 +10,7 @@
 import dev.lycheehill.platformlog.keyed.NewestPage
 import dev.lycheehill.platformlog.keyed.RecordPage
 import dev.lycheehill.platformlog.keyed.StoreError
+import dev.lycheehill.platformlog.keyed.WriteReceipt
 
 /**
  * Store of keyed topics in memory, for tests and demonstrations. Confined to the thread of [timers].
@@ -43,6 +44,27 @@
     /** Drops the history of [topic]; only [KeyedStore.readNewest] still returns the newest record of each key. */
     fun compact(topic: KeyedTopic) = topics.getValue(topic).compact()
 
+    /** Epoch of the store; rises with each [restore]. */
+    var epoch = 1L
+        private set
+
+    /** Returns a copy of all topics, from which the store can be restored later. */
+    fun copy(): Copy = Copy(topics.mapValues { it.value.snapshot() })
+
+    /**
+     * Replaces all topics by [copy], so that later records are lost and their offsets are assigned again. Reads that are waiting
+     * continue at their offset.
+     */
+    fun restore(copy: Copy) {
+        epoch++
+        topics.forEach { (topic, state) -> state.restore(copy.topics.getValue(topic)) }
+    }
+
+    /** Copy of the content of a store. */
+    class Copy internal constructor(
+        internal val topics: Map<KeyedTopic, TopicSnapshot>,
+    )
+
     /** Returns the newest value of [key]; null when there is none. */
     fun valueOf(
         topic: KeyedTopic,
@@ -74,6 +96,16 @@
             records.clear()
         }
 
+        fun snapshot() = TopicSnapshot(firstOffset, records.toList(), newest.toMap())
+
+        fun restore(snapshot: TopicSnapshot) {
+            firstOffset = snapshot.firstOffset
+            records.clear()
+            records.addAll(snapshot.records)
+            newest.clear()
+            newest.putAll(snapshot.newest)
+        }
+
         fun recordsFrom(offset: Long): List<KeyedRecord> = records.drop((offset - firstOffset).toInt())
     }
 
@@ -84,10 +116,10 @@
             topic: KeyedTopic,
             key: String,
             value: ByteArray?,
-            listener: (Either<StoreError, Long>) -> Unit,
+            listener: (Either<StoreError, WriteReceipt>) -> Unit,
         ) = respond(listener) {
             val offset = topics.getValue(topic).append(key, value)
-            if (access.losesWriteResponses) StoreError.Unknown("response lost").left() else offset.right()
+            if (access.losesWriteResponses) StoreError.Unknown("response lost").left() else WriteReceipt(offset, epoch).right()
         }
 
         override fun readNewest(
@@ -97,7 +129,7 @@
         ) = respond(listener) {
             val state = topics.getValue(topic)
             val remaining = state.newest.values.filter { after == null || it.key > after }
-            NewestPage(remaining.take(pageSize), state.endOffset, remaining.size > pageSize).right()
+            NewestPage(remaining.take(pageSize), state.endOffset, remaining.size > pageSize, epoch).right()
         }
 
         override fun read(
@@ -144,9 +176,9 @@
             state: Topic,
             fromOffset: Long,
         ): Either<StoreError, RecordPage> {
-            if (fromOffset < state.firstOffset) return StoreError.Compacted("first retained offset is ${state.firstOffset}").left()
+            if (fromOffset !in state.firstOffset..state.endOffset) return StoreError.Compacted("first retained offset is ${state.firstOffset}").left()
             val records = state.recordsFrom(fromOffset)
-            return RecordPage(records, fromOffset + records.size).right()
+            return RecordPage(records, fromOffset + records.size, epoch).right()
         }
 
         private fun <T> respond(
