Add failing tests of a store that comes back from an older copy

TopicFollowerTest: after the restore the follower still reads from offset 2, the store assigns offset 1 again, and the new record is never delivered. StoreFleetTest, 60 fleets of 13 nodes: with 11 to 13 nodes cut off across the return, and without an outage at all, nodes keep the older version.

--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -293,6 +293,52 @@
         expectThat(nodes[0].fleet.members().containsKey("n9")).isFalse()
     }
 
+    /** Guards against a configuration that no node reads, because its offset lies below the positions of all nodes after a restore. */
+    @Test
+    fun `restored store delivers a configuration although most nodes are cut off at its return`() {
+        val late =
+            lateSeeds(version = 4) { seed, sim, nodes ->
+                val copy = sim.store.copy()
+                listOf(2L, 3L).forEach {
+                    sim.publish(it)
+                    sim.advance(1_500)
+                }
+                nodes.drop((seed % 3).toInt()).forEach { sim.isolate(it.id) }
+                nodes.forEach { it.access.isUnresponsive = true }
+                sim.advance(1_000 + seed * 50)
+                sim.store.restore(copy)
+                nodes.take((seed % 3).toInt()).forEach { it.access.isUnresponsive = false }
+                sim.publish(3)
+                sim.publish(4)
+                sim.advance(1_000 + seed * 20)
+                nodes.forEach {
+                    it.access.isUnresponsive = false
+                    sim.heal(it.id)
+                }
+                sim.advance(3_000)
+            }
+        expectThat(late).describedAs("seeds with a node that is late").isEmpty()
+    }
+
+    /** Guards against nodes that notice a restore late, because their reads wait at the store since before. */
+    @Test
+    fun `restored store is noticed within three seconds without an outage`() {
+        val late =
+            lateSeeds(version = 4) { seed, sim, _ ->
+                val copy = sim.store.copy()
+                listOf(2L, 3L).forEach {
+                    sim.publish(it)
+                    sim.advance(1_500)
+                }
+                sim.advance(seed * 130)
+                sim.store.restore(copy)
+                sim.publish(3)
+                sim.publish(4)
+                sim.advance(3_000)
+            }
+        expectThat(late).describedAs("seeds with a node that is late").isEmpty()
+    }
+
     /**
      * Runs [scenario] on 60 fleets, starting at a time that depends on the seed, and returns the seeds of the fleets in which a node does
      * not have [version] at the end.
--- a/platform-log/src/test/kotlin/dev/lycheehill/platformlog/keyed/TopicFollowerTest.kt
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/keyed/TopicFollowerTest.kt
@@ -111,6 +111,23 @@
         expectThat(delivered.last()) isEqualTo "config=2"
     }
 
+    /** Guards against a missed record whose offset the store has assigned again after a restore. */
+    @Test
+    fun `restored store delivers a record whose offset it assigned again`() {
+        write("config", "1")
+        val copy = store.copy()
+        follower.start()
+        write("config", "2")
+        timers.advance(1_000)
+        access.isRefusing = true
+        timers.advance(1_000)
+        store.restore(copy)
+        write("config", "3")
+        access.isRefusing = false
+        timers.advance(2_000)
+        expectThat(delivered.last()) isEqualTo "config=3"
+    }
+
     private companion object {
         const val SEED = 20261204
     }
