Read the configurations again when the store came back from an older copy

Callers were served by an older version although a newer one was acknowledged (CONFIG): followers went on at their old offset, which the store had assigned again, and never read the records below. A node whose read came after as many writes as had been lost did not even get 410. StoreEpochTracker decides by the epoch of each response; on a rise the follower abandons its position and reads the newest records, and tells the other readers in a heartbeat, which repeat their reads without a wait. A report of another node only causes a read, since refusing responses on its word would lock a node out if the report were wrong.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/PeerHeartbeat.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/PeerHeartbeat.kt
@@ -1,6 +1,7 @@
 package dev.lycheehill.fleet.store
 
 import dev.lycheehill.fleet.membership.MemberRecord
+import dev.lycheehill.platformlog.keyed.StoreEpoch
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -13,6 +14,7 @@
  * @property tableHash hash over the sender's member records.
  * @property storeBackMs time in milliseconds since the store answered the sender again after an outage without answers; null when
  *   there was no recent outage.
+ * @property storeEpoch epoch of the store as the sender knows it; [StoreEpoch.UNKNOWN] if it does not.
  * @property record record of the sender, if the record has changed recently or the receiver may lack it.
  */
 @Serializable
@@ -23,4 +25,5 @@
     @SerialName("h") val tableHash: Int,
     @SerialName("r") val record: MemberRecord? = null,
     @SerialName("s") val storeBackMs: Long? = null,
+    @SerialName("e") val storeEpoch: Long = StoreEpoch.UNKNOWN,
 )
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -58,7 +58,14 @@
             onConfigurationStoreResult(it)
         }
     private val directoryReader =
-        DirectoryReader(this.store, timers, settings, random, ::onMemberRecord, ::onDirectoryRead) { reportStoreResult(KeyedTopic.MEMBERS, it) }
+        DirectoryReader(
+            this.store,
+            timers,
+            settings,
+            random,
+            ::onMemberRecord,
+            ::onDirectoryRead,
+        ) { reportStoreResult(KeyedTopic.MEMBERS, it) }
     private var subscription: Subscription? = null
     private var isSyncing = false
 
@@ -176,7 +183,7 @@
     ) = peers.send(receivers.map { it.controlAddress }, heartbeat)
 
     private fun heartbeat(record: MemberRecord?) =
-        PeerHeartbeat(self.nodeId, self.incarnation, state.version, members.hash(), record, storeBackMs())
+        PeerHeartbeat(self.nodeId, self.incarnation, state.version, members.hash(), record, storeBackMs(), epochs.current)
 
     private fun storeBackMs(): Long? = storeBackAtMs?.let { timers.nowMs() - it }?.takeIf { it < settings.repeatRecordMs }
 
@@ -184,6 +191,7 @@
         if (heartbeat.nodeId == self.nodeId) return
         heartbeat.record?.let(::merge)
         heartbeat.storeBackMs?.let(configurationFollower::onStoreRecovered)
+        if (epochs.isNewsOfRestore(heartbeat.storeEpoch)) configurationFollower.onRestoreReported()
         members.recordHeartbeat(heartbeat.nodeId, heartbeat.version)
         // An unknown sender has read this node's record from the store, and sends its own record once that is written.
         val sender = members.find(heartbeat.nodeId) ?: return
@@ -289,7 +297,12 @@
         isStoreUnresponsive = error is StoreError.Unknown
     }
 
-    private fun onStoreRestored(epoch: Long) = onChange(StoreFleetEvent.StoreRestored(epoch))
+    // Other readers may be waiting at the store since before the restore.
+    private fun onStoreRestored(epoch: Long) {
+        onChange(StoreFleetEvent.StoreRestored(epoch))
+        configurationFollower.reload()
+        if (members.role() != ReaderRole.LISTENER) sendHeartbeat(members.otherReaders(), heartbeat(record = null))
+    }
 
     private fun reportStoreResult(
         topic: KeyedTopic,
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/EpochTrackingStore.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/EpochTrackingStore.kt
@@ -30,6 +30,5 @@
     private fun <T> track(
         result: Either<StoreError, T>,
         epochOf: (T) -> Long,
-    ): Either<StoreError, T> =
-result.onRight { epochs.observe(epochOf(it)) }
+    ): Either<StoreError, T> = result.onRight { epochs.observe(epochOf(it)) }
 }
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/StoreEpochTracker.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/StoreEpochTracker.kt
@@ -14,6 +14,19 @@
     var current = StoreEpoch.UNKNOWN
         private set
 
+    private var reported = StoreEpoch.UNKNOWN
+
+    /**
+     * Records that another node reports [epoch]. Returns whether this is the first report of a restore that no response has shown yet.
+     *
+     * The report does not change [current], which would make this node refuse the responses of the store if the report were wrong.
+     */
+    fun isNewsOfRestore(epoch: Long): Boolean {
+        if (current == StoreEpoch.UNKNOWN || epoch <= maxOf(current, reported)) return false
+        reported = epoch
+        return true
+    }
+
     /**
      * Records that a response names [epoch]. Returns false if the response is from an earlier epoch, so that what it acknowledges or
      * describes may have been lost since.
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
@@ -9,7 +9,9 @@
 /**
  * Follows one topic of the store: delivers the newest record of each key, then every later record.
  *
- * A record may be delivered twice, and after a compaction records come in order of keys instead of offsets. Therefore
+ * The position of the follower is valid in one epoch of the store. When the store is restored from an older copy, [reload] must be called.
+ *
+ * A record may be delivered twice, and after a compaction or a restore records come in order of keys instead of offsets. Therefore
  * [onRecord] must decide by the content of a record which one is newer. The class is confined to the thread on which the
  * store's client calls its listeners and [timers] runs its tasks.
  *
@@ -32,10 +34,14 @@
     private var nextOffset = 0L
     private var stopped = false
 
-    // Number and start time of the read in progress. A response to a read with a lower number is ignored.
-    private var readNumber = 0
+    // Rises whenever the follower abandons its call or timer in progress, whose result is then ignored.
+    private var generation = 0
     private var readStartedAtMs: Long? = null
     private var lastReadRestartAtMs = timers.nowMs() - settings.minReadRestartIntervalMs
+    private var isListening = false
+
+    // Whether the next read must not wait at the store, because its response may show that the store was restored.
+    private var isImmediateReadDue = false
 
     /** Whether the newest record of each key has been read once. */
     var isCaughtUp = false
@@ -49,13 +55,20 @@
         private set
 
     /** Starts following the topic. */
-    fun start() = loadNewest(after = null, endOffset = null)
+    fun start() = reload()
 
     /** Stops following the topic. The result of a call in progress is ignored. */
     fun stop() {
         stopped = true
     }
 
+    /** Reads the newest record of each key again, because the position is no longer valid. A listener has no position and does nothing. */
+    fun reload() {
+        if (stopped || isListening) return
+        abandon()
+        loadNewest(after = null, endOffset = null)
+    }
+
     /**
      * Restarts a read that began more than [agoMs] milliseconds ago; called when another node reports that the store
      * recovered at that time. The store may never respond to a read that began while it was unresponsive.
@@ -65,15 +78,35 @@
         val startedAtMs = readStartedAtMs ?: return
         if (stopped || startedAtMs >= now - agoMs || now - lastReadRestartAtMs < settings.minReadRestartIntervalMs) return
         lastReadRestartAtMs = now
-        readNext()
+        restartRead()
+    }
+
+    /** Restarts a read that is waiting at the store; called when another node reports that the store was restored. */
+    fun onRestoreReported() {
+        if (stopped) return
+        if (readStartedAtMs == null) isImmediateReadDue = true else restartRead()
+    }
+
+    private fun restartRead() {
+        isImmediateReadDue = true
+        startRead()
+    }
+
+    private fun abandon() {
+        generation++
+        readStartedAtMs = null
+        isReadDelayed = false
     }
 
     private fun loadNewest(
         after: String?,
         endOffset: Long?,
     ) {
+        val expected = generation
         store.readNewest(topic, after) { result ->
-            handleResult(result, { loadNewest(after, endOffset) }) { page -> onNewestPage(page, endOffset ?: page.endOffset) }
+            if (generation == expected) {
+                handleResult(result, { loadNewest(after, endOffset) }) { page -> onNewestPage(page, endOffset ?: page.endOffset) }
+            }
         }
     }
 
@@ -99,14 +132,20 @@
     }
 
     // A listener that becomes a reader loads only the newest records, because it got the earlier ones from other nodes.
-    private fun listen(): Unit =
-        schedule(settings.roleCheckPeriodMs) { if (role() == ReaderRole.LISTENER) listen() else loadNewest(after = null, endOffset = null) }
+    private fun listen() {
+        isListening = true
+        schedule(settings.roleCheckPeriodMs) {
+            isListening = role() == ReaderRole.LISTENER
+            if (isListening) listen() else reload()
+        }
+    }
 
     private fun startRead() {
-        val number = ++readNumber
+        abandon()
+        val expected = generation
         readStartedAtMs = timers.nowMs()
         store.read(topic, nextOffset, readWaitMs()) { result ->
-            if (number == readNumber) {
+            if (generation == expected) {
                 readStartedAtMs = null
                 handleResult(result, ::readNext, ::onRecordPage)
             }
@@ -117,12 +156,13 @@
     // of many nodes.
     private fun readWaitMs(): Long =
         when {
-            isFailing -> 0
+            isFailing || isImmediateReadDue -> 0
             role() == ReaderRole.PROBER -> settings.probeReadWaitMs
             else -> random.nextLong(settings.maxReadWaitMs / 2, settings.maxReadWaitMs)
         }
 
     private fun onRecordPage(page: RecordPage) {
+        isImmediateReadDue = false
         nextOffset = page.nextOffset
         page.records.forEach(onRecord)
         if (page.records.isEmpty()) {
@@ -151,7 +191,7 @@
         retry: () -> Unit,
     ) {
         if (error is StoreError.Compacted) {
-            loadNewest(after = null, endOffset = null)
+            reload()
             return
         }
         if (!failureTracker.isFailing) onAvailabilityChange(error)
@@ -162,6 +202,7 @@
         delayMs: Long,
         task: () -> Unit,
     ) {
-        timers.after(delayMs) { if (!stopped) task() }
+        val expected = generation
+        timers.after(delayMs) { if (!stopped && generation == expected) task() }
     }
 }
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/memory/InMemoryKeyedStore.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/memory/InMemoryKeyedStore.kt
@@ -176,7 +176,11 @@
             state: Topic,
             fromOffset: Long,
         ): Either<StoreError, RecordPage> {
-            if (fromOffset !in state.firstOffset..state.endOffset) return StoreError.Compacted("first retained offset is ${state.firstOffset}").left()
+            if (fromOffset !in
+                state.firstOffset..state.endOffset
+            ) {
+                return StoreError.Compacted("first retained offset is ${state.firstOffset}").left()
+            }
             val records = state.recordsFrom(fromOffset)
             return RecordPage(records, fromOffset + records.size, epoch).right()
         }
--- a/platform-log/src/test/kotlin/dev/lycheehill/platformlog/keyed/TopicFollowerTest.kt
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/keyed/TopicFollowerTest.kt
@@ -19,9 +19,10 @@
     private val delivered = ArrayList<String>()
     private val availabilityChanges = ArrayList<String?>()
     private val topic = KeyedTopic.CONFIGURATION
-    private val follower =
+    private val epochs: StoreEpochTracker = StoreEpochTracker { follower.reload() }
+    private val follower: TopicFollower =
         TopicFollower(
-            store = store.newClient(access),
+            store = EpochTrackingStore(store.newClient(access), epochs),
             topic = topic,
             timers = timers,
             settings = FollowerSettings(),
@@ -128,6 +129,45 @@
         expectThat(delivered.last()) isEqualTo "config=3"
     }
 
+    /** Guards against pages that are joined although the store was restored between their reads. */
+    @Test
+    fun `all pages are read again when the store was restored between two of them`() {
+        listOf("a", "b", "c", "d").forEach { write(it, "1") }
+        val copy = store.copy()
+        listOf("a", "b", "c", "d").forEach { write(it, "2") }
+        follower.start()
+        timers.advance(5)
+        expectThat(delivered).containsExactly("a=2", "b=2")
+        store.restore(copy)
+        write("a", "3")
+        timers.advance(1_000)
+        write("b", "4")
+        timers.advance(1_000)
+        expectThat(delivered.last()) isEqualTo "b=4"
+        expectThat(delivered.contains("a=3")).isTrue()
+    }
+
+    /** Guards against a read that waits at the store since before a restore and shows it only when the wait ends. */
+    @Test
+    fun `a read is repeated without a wait when another node reports a restore`() {
+        write("config", "1")
+        val copy = store.copy()
+        write("config", "2")
+        follower.start()
+        timers.advance(100)
+        access.isUnresponsive = true
+        store.restore(copy)
+        access.isUnresponsive = false
+        write("config", "3")
+        timers.advance(100)
+        expectThat(delivered.last()) isEqualTo "config=2"
+        expectThat(epochs.isNewsOfRestore(store.epoch)).isTrue()
+        follower.onRestoreReported()
+        timers.advance(100)
+        expectThat(delivered.last()) isEqualTo "config=3"
+        expectThat(epochs.isNewsOfRestore(store.epoch)).isFalse()
+    }
+
     private companion object {
         const val SEED = 20261204
     }
