Add failing tests of acknowledged records that a restored store has lost

StoreFleetTest: the record of a node that started after the copy is not written again, so that nodes starting later do not know it; a lost record of a leave brings the node back for them; a departure is unknown to its node when that restarts across the restore.

--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -1,8 +1,11 @@
 package dev.lycheehill.fleet.store
 
+import dev.lycheehill.fleet.membership.Departure
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.platformlog.keyed.KeyedTopic
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.containsExactlyInAnyOrder
@@ -339,6 +342,65 @@
         expectThat(late).describedAs("seeds with a node that is late").isEmpty()
     }
 
+    /** Guards against a node that nodes starting later do not know, because the store has lost its acknowledged record. */
+    @Test
+    fun `lost record of a node is written again within two seconds after the store was restored`() {
+        sim.start(3)
+        sim.advance(3_000)
+        val copy = sim.store.copy()
+        sim.start(2, first = 3)
+        sim.advance(3_000)
+        sim.store.restore(copy)
+        sim.advance(2_000)
+        listOf("n3", "n4").forEach { expectThat(sim.store.valueOf(KeyedTopic.MEMBERS, it)).describedAs(it).isNotNull() }
+        val late = sim.start(1, first = 9).single()
+        sim.advance(2_000)
+        expectThat(late.fleet.members().size) isEqualTo 6
+    }
+
+    /** Guards against calls to a node that has left, from nodes that start after the store has lost the record of its leave. */
+    @Test
+    fun `lost record of a leave is written again after the store was restored`() {
+        val nodes = sim.start(4)
+        sim.advance(3_000)
+        val copy = sim.store.copy()
+        nodes[2].fleet.leave()
+        sim.advance(3_000)
+        sim.isolate(nodes[2].id)
+        sim.store.restore(copy)
+        sim.advance(2_000)
+        val late = sim.start(1, first = 9).single()
+        sim.advance(2_000)
+        expectThat(late.fleet.members().keys).containsExactlyInAnyOrder("n0", "n1", "n3", "n9")
+    }
+
+    /** Guards against a record that is lost long after its write, when no node expects the loss any more. */
+    @Test
+    fun `lost record of a node is written again after its next read of all records`() {
+        val node = sim.start(2).last()
+        sim.advance(3_000)
+        sim.store.write(KeyedTopic.MEMBERS, node.id, null)
+        sim.advance(46_000)
+        expectThat(sim.store.valueOf(KeyedTopic.MEMBERS, node.id)).isNotNull()
+    }
+
+    /** Guards against new work for a backend server that has left, at a node whose record the store lost while the node restarted. */
+    @ParameterizedTest
+    @ValueSource(booleans = [true, false])
+    fun `lost departure is known to the restarted node after the store was restored`(restartsBeforeRestore: Boolean) {
+        val nodes = sim.start(4)
+        sim.advance(3_000)
+        val copy = sim.store.copy()
+        nodes[1].fleet.recordDeparture(Departure("i-1", bornMs = 7))
+        sim.advance(1_000)
+        if (restartsBeforeRestore) nodes[1].fleet.stop()
+        sim.store.restore(copy)
+        if (!restartsBeforeRestore) sim.advance(2_000)
+        val restarted = sim.restart(nodes[1])
+        sim.advance(1_000)
+        expectThat(restarted.fleet.self.departure) isEqualTo Departure("i-1", bornMs = 7)
+    }
+
     /**
      * Runs [scenario] on 60 fleets, starting at a time that depends on the seed, and returns the seeds of the fleets in which a node does
      * not have [version] at the end.
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/StoreError.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/StoreError.kt
@@ -15,6 +15,11 @@
         override val reason: String,
     ) : StoreError
 
+    /** The store was restored from an older copy after the response was sent, and may have lost what the response acknowledges or describes. */
+    data class Superseded(
+        override val reason: String,
+    ) : StoreError
+
     /** The outcome is unknown, because there was no response or an unreadable one. A write may have taken effect or may still do so. */
     data class Unknown(
         override val reason: String,
