Write records again that the store lost when it came back from an older copy

A node that had started after the copy was unknown to nodes that started later, as its acknowledged record was gone and nobody wrote it again. The publisher keeps the epoch and time of the last acknowledgement. A late acknowledgement of an earlier epoch is now an error (Superseded), and the write is repeated.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublisher.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublisher.kt
@@ -1,17 +1,21 @@
 package dev.lycheehill.fleet.store
 
 import dev.lycheehill.core.time.TimerService
+import dev.lycheehill.core.time.nowMs
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.platformlog.Backoff
 import dev.lycheehill.platformlog.keyed.CallFailureTracker
 import dev.lycheehill.platformlog.keyed.KeyedStore
 import dev.lycheehill.platformlog.keyed.KeyedTopic
+import dev.lycheehill.platformlog.keyed.StoreEpoch
 import dev.lycheehill.platformlog.keyed.StoreError
 import kotlin.random.Random
 
 /**
  * Writes the newest record of this node to the store and retries until the store acknowledges the write.
  *
+ * The store may lose an acknowledged record when it is restored from an older copy; [mayBeLost] and [isMissingFrom] tell when to publish again.
+ *
  * At most one write is in progress. A write without an answer may still take effect later, which is harmless because readers
  * keep the record with the higher incarnation.
  */
@@ -26,6 +30,19 @@
     private var pendingRecord: MemberRecord? = null
     private var isWriting = false
     private var listener: () -> Unit = {}
+    private var acknowledged: MemberRecord? = null
+    private var acknowledgedEpoch = StoreEpoch.UNKNOWN
+    private var acknowledgedAtMs = 0L
+
+    /** Whether the store may have lost the record of this node when it started [epoch], which has just been noticed. */
+    fun mayBeLost(epoch: Long): Boolean =
+        acknowledged != null && acknowledgedEpoch < epoch && timers.nowMs() - acknowledgedAtMs <= settings.maxCopyAgeMs
+
+    /** Whether [read], the record of this node in the store (null if there is none), is older than the one that the store has acknowledged. */
+    fun isMissingFrom(read: MemberRecord?): Boolean {
+        val expected = acknowledged ?: return false
+        return !isWriting && (read == null || read.incarnation < expected.incarnation)
+    }
 
     /**
      * Writes [record] in place of an older record that is still waiting to be written.
@@ -44,14 +61,20 @@
     private fun write(record: MemberRecord) {
         isWriting = true
         store.put(KeyedTopic.MEMBERS, record.nodeId, MemberCodec.encode(record)) { result ->
-            result.fold(::onWriteFailed) { onWriteSucceeded(record) }
+            result.fold(::onWriteFailed) { onWriteSucceeded(record, it.epoch) }
         }
     }
 
-    private fun onWriteSucceeded(record: MemberRecord) {
+    private fun onWriteSucceeded(
+        record: MemberRecord,
+        epoch: Long,
+    ) {
         val failures = calls.recordSuccess()
         if (failures > 0) onChange(StoreFleetEvent.RecordWritten(record.incarnation, failures))
         isWriting = false
+        acknowledged = record
+        acknowledgedEpoch = epoch
+        acknowledgedAtMs = timers.nowMs()
         notifyListener()
         val newer = pendingRecord
         if (newer == record) pendingRecord = null else newer?.let(::write)
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -68,11 +68,15 @@
         ) { reportStoreResult(KeyedTopic.MEMBERS, it) }
     private var subscription: Subscription? = null
     private var isSyncing = false
+    private var isStopped = false
 
     // Whether the next period repeats the heartbeat to all nodes after a change of the own record, since single datagrams may be lost.
     private var isRepeatPending = false
     private var lastTableSyncAtMs = timers.nowMs()
 
+    // Record of this node in the store, as of the latest read of all records; null if there was none.
+    private var storedSelf: MemberRecord? = null
+
     /** Whether this node has received the member records since its start, including its own earlier record, if there is one. */
     var hasReadOwnRecord = false
         private set
@@ -119,6 +123,7 @@
 
     /** Stops without an announcement. */
     fun stop() {
+        isStopped = true
         subscription?.cancel()
         configurationFollower.stop()
         directoryReader.stop()
@@ -144,11 +149,17 @@
     // The earlier record of this node is read before it is overwritten. The second read, after the write, ensures that of two nodes
     // that start at the same time at least one finds the other.
     private fun onDirectoryRead() {
-        if (!directoryReader.hasReadTwice) publisher.publish(self) { directoryReader.read() }
+        when {
+            !directoryReader.hasReadTwice -> publishAndRead()
+            publisher.isMissingFrom(storedSelf) -> publisher.publish(self)
+        }
+        storedSelf = null
         reportMembersRead()
         sendHeartbeatToAll()
     }
 
+    private fun publishAndRead() = publisher.publish(self) { directoryReader.read() }
+
     private fun reportMembersRead() {
         if (hasReadOwnRecord) return
         hasReadOwnRecord = true
@@ -191,7 +202,7 @@
         if (heartbeat.nodeId == self.nodeId) return
         heartbeat.record?.let(::merge)
         heartbeat.storeBackMs?.let(configurationFollower::onStoreRecovered)
-        if (epochs.isNewsOfRestore(heartbeat.storeEpoch)) configurationFollower.onRestoreReported()
+        if (epochs.isNewsOfRestore(heartbeat.storeEpoch)) onRestoreReported(heartbeat.storeEpoch)
         members.recordHeartbeat(heartbeat.nodeId, heartbeat.version)
         // An unknown sender has read this node's record from the store, and sends its own record once that is written.
         val sender = members.find(heartbeat.nodeId) ?: return
@@ -269,7 +280,12 @@
 
     private fun onMemberRecord(record: KeyedRecord) {
         val value = record.value ?: return
-        MemberCodec.decode(value).fold({ onChange(StoreFleetEvent.RecordUnreadable(record.key, it)) }, ::merge)
+        MemberCodec.decode(value).fold({ onChange(StoreFleetEvent.RecordUnreadable(record.key, it)) }, ::onStoredMember)
+    }
+
+    private fun onStoredMember(record: MemberRecord) {
+        if (record.nodeId == self.nodeId) storedSelf = record
+        merge(record)
     }
 
     private fun merge(record: MemberRecord) {
@@ -301,9 +317,21 @@
     private fun onStoreRestored(epoch: Long) {
         onChange(StoreFleetEvent.StoreRestored(epoch))
         configurationFollower.reload()
+        recoverRecord(epoch)
         if (members.role() != ReaderRole.LISTENER) sendHeartbeat(members.otherReaders(), heartbeat(record = null))
     }
 
+    // Another node reports a restore that no response of the store has shown to this node yet.
+    private fun onRestoreReported(epoch: Long) {
+        configurationFollower.onRestoreReported()
+        recoverRecord(epoch)
+    }
+
+    // While the record of this node was lost, nodes may have started that this node does not know, so it reads all records as at its start.
+    private fun recoverRecord(epoch: Long) {
+        timers.after(random.nextLong(settings.syncJitterMs)) { if (!isStopped && publisher.mayBeLost(epoch)) publishAndRead() }
+    }
+
     private fun reportStoreResult(
         topic: KeyedTopic,
         error: StoreError?,
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -358,6 +358,38 @@
         expectThat(late.fleet.members().size) isEqualTo 6
     }
 
+    /** Guards against a node of a large fleet that does not read the store and so does not notice the restore. */
+    @Test
+    fun `lost record of a node that does not read the configuration is written again after the store was restored`() {
+        sim.startMany(60)
+        sim.publish(1)
+        sim.advance(20_000)
+        val copy = sim.store.copy()
+        val listener = sim.start(1, first = 200).single()
+        sim.advance(5_000)
+        sim.store.restore(copy)
+        sim.advance(5_000)
+        expectThat(sim.store.valueOf(KeyedTopic.MEMBERS, listener.id)).isNotNull()
+    }
+
+    /** Guards against a burst of calls by all nodes when the store returns, as only few records can be lost. */
+    @Test
+    fun `a restore costs a large fleet a few calls for each reader and each lost record`() {
+        sim.startMany(89)
+        sim.publish(1)
+        sim.advance(120_000)
+        val copy = sim.store.copy()
+        sim.start(2, first = 200)
+        sim.advance(5_000)
+        val callsBefore = sim.store.callCount
+        sim.store.restore(copy)
+        sim.advance(3_000)
+        println("calls=${sim.store.callCount - callsBefore}")
+        // Three for each of the five readers and the prober, four for each lost record, and periodic reads: each node reads all records
+        // every 30 s, and the prober reads the configuration every second.
+        expectThat(sim.store.callCount - callsBefore).isLessThanOrEqualTo(6 * 3 + 2 * 4 + 91 / 10 + 6)
+    }
+
     /** Guards against calls to a node that has left, from nodes that start after the store has lost the record of its leave. */
     @Test
     fun `lost record of a leave is written again after the store was restored`() {
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/EpochTrackingStore.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/EpochTrackingStore.kt
@@ -1,8 +1,14 @@
 package dev.lycheehill.platformlog.keyed
 
 import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
 
-/** Client of [store] that reports the epoch of each response to [epochs] before the response is delivered. */
+/**
+ * Client of [store] that reports the epoch of each response to [epochs] before the response is delivered, and replaces responses of
+ * earlier epochs by [StoreError.Superseded].
+ */
 class EpochTrackingStore(
     private val store: KeyedStore,
     private val epochs: StoreEpochTracker,
@@ -30,5 +36,9 @@
     private fun <T> track(
         result: Either<StoreError, T>,
         epochOf: (T) -> Long,
-    ): Either<StoreError, T> = result.onRight { epochs.observe(epochOf(it)) }
+    ): Either<StoreError, T> =
+        result.flatMap {
+            val epoch = epochOf(it)
+            if (epochs.observe(epoch)) it.right() else StoreError.Superseded("response of epoch $epoch in epoch ${epochs.current}").left()
+        }
 }
