Write the record of a leave again that the store lost when it came back from an older copy

A node that had left came back for nodes that started later: the store had lost the record of its leave, and the node itself had ended. The prober reads all records when the epoch rises, and whenever it reads them it writes the tombstones that it holds in place of older records. One node does it, so the cost does not grow with the fleet. Red before: StoreFleetTest "lost record of a leave is written again after the store was restored".

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/ObservedMembers.kt
@@ -56,6 +56,9 @@
     /** Returns the record of the member [nodeId], or null when the member is unknown or gone. */
     fun find(nodeId: String): MemberRecord? = table.live[nodeId]
 
+    /** Returns the tombstone of the member [nodeId], or null when the member is not known to be gone. */
+    fun tombstone(nodeId: String): MemberRecord? = table.goneRecord(nodeId)
+
     /** Returns the records of all members except this node. */
     fun peers(): List<MemberRecord> = table.live.values.filter { it.nodeId != self.nodeId }
 
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -52,6 +52,7 @@
     private val epochs = StoreEpochTracker(::onStoreRestored)
     private val store: KeyedStore = EpochTrackingStore(store, epochs)
     private val publisher = RecordPublisher(this.store, timers, settings, random, onChange)
+    private val tombstoneRepair = TombstoneRepair(this.store, timers, settings, random, members::tombstone)
     private val heartbeatSchedule = HeartbeatSchedule(settings, random)
     private val configurationFollower =
         TopicFollower(this.store, KeyedTopic.CONFIGURATION, timers, settings.follower, random, members::role, ::onConfigurationRecord) {
@@ -286,6 +287,13 @@
     private fun onStoredMember(record: MemberRecord) {
         if (record.nodeId == self.nodeId) storedSelf = record
         merge(record)
+        if (record.state != MemberState.GONE) repairTombstone(record)
+    }
+
+    // One node repairs for all: a node that starts would otherwise take a member that has left for one that is alive.
+    private fun repairTombstone(record: MemberRecord) {
+        val tombstone = members.tombstone(record.nodeId) ?: return
+        if (tombstone.incarnation >= record.incarnation && members.role() == ReaderRole.PROBER) tombstoneRepair.repair(record.nodeId)
     }
 
     private fun merge(record: MemberRecord) {
@@ -318,6 +326,7 @@
         onChange(StoreFleetEvent.StoreRestored(epoch))
         configurationFollower.reload()
         recoverRecord(epoch)
+        if (members.role() == ReaderRole.PROBER) directoryReader.read()
         if (members.role() != ReaderRole.LISTENER) sendHeartbeat(members.otherReaders(), heartbeat(record = null))
     }
 
