Remind a restarted node of a departure that the store lost when it came back from an older copy

A backend server that had left got new work: its node had recorded the departure, the store lost the record, and the node restarted across the restore and took the healthy answer to its probe for a ready backend server. Nodes that know the record of the earlier process now send it back to a node whose new process announces no departure; the node withdraws the registration even if it came first.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -304,12 +304,24 @@
         if (record.nodeId == self.nodeId) {
             val previousDeparture = self.departure
             if (record.bootId != self.bootId && previousDeparture == null) record.departure?.let(members::recordDeparture)
-            if (members.refute(record) || self.departure != previousDeparture) publishSelf()
-        } else if (members.merge(record)) {
-            onChange(StoreFleetEvent.Member(record))
+            val isDepartureNew = self.departure != previousDeparture
+            if (members.refute(record) || isDepartureNew) publishSelf()
+            if (isDepartureNew) onChange(StoreFleetEvent.DepartureLearned)
+        } else {
+            mergePeer(record)
         }
     }
 
+    // A member that has restarted may have found no record of its earlier process, because the store has lost it. Its departure is then only
+    // known to the other members.
+    private fun mergePeer(record: MemberRecord) {
+        val previous = members.find(record.nodeId)
+        if (!members.merge(record)) return
+        onChange(StoreFleetEvent.Member(record))
+        val isForgotten = previous?.departure != null && record.departure == null && record.bootId != previous.bootId
+        if (isForgotten) peers.send(listOf(record.controlAddress), heartbeat(previous))
+    }
+
     // Reads of other readers that began while the store gave no answers are never answered. A heartbeat with storeBackMs makes these
     // nodes repeat their reads.
     private fun onConfigurationStoreResult(error: StoreError?) {
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetEvent.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetEvent.kt
@@ -15,6 +15,9 @@
     /** This node has read the member records, including its own record from before a restart, if there is one. */
     data object MembersRead : StoreFleetEvent
 
+    /** The departure in the record of an earlier process of this node has become known. */
+    data object DepartureLearned : StoreFleetEvent
+
     /** The configuration record at [offset] cannot be decoded and is skipped. */
     data class ConfigurationUnreadable(
         val offset: Long,
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
@@ -174,6 +174,7 @@
     private fun onFleetEvent(event: StoreFleetEvent) {
         log(event)
         if (event == StoreFleetEvent.MembersRead) timers.after(0, ::probeBackend)
+        if (event == StoreFleetEvent.DepartureLearned) heartbeats.onDepartureLearned()
         if (event !is StoreFleetEvent.ConfigurationInForce) return
         timers.after(0) {
             probeBackend()
@@ -198,6 +199,7 @@
             is StoreFleetEvent.ConfigurationUnreadable ->
                 decisions.write("configuration-unreadable", "offset" to event.offset, "reason" to event.reason)
             StoreFleetEvent.MembersRead -> decisions.write("members-read", "members" to fleet.members().size)
+            StoreFleetEvent.DepartureLearned -> decisions.write("departure-learned", "instance" to fleet.self.departure?.instanceId)
             is StoreFleetEvent.Member ->
                 decisions.write(
                     "member-changed",
--- a/node/src/main/kotlin/dev/lycheehill/node/target/HeartbeatTracker.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/target/HeartbeatTracker.kt
@@ -68,6 +68,15 @@
         return true
     }
 
+    /** Withdraws the registration if its process has departed, as an earlier process of this node has recorded. */
+    fun onDepartureLearned() {
+        val current = newest ?: return
+        if (isDeregistered || !target.hasDeparted(current.instanceId, current.startedAtMs)) return
+        isDeregistered = true
+        log("target-left", current, "LEARNED")
+        target.withdraw()
+    }
+
     private fun outcomeOf(heartbeat: TargetHeartbeat): HeartbeatOutcome {
         val previous = newest
         return when {
--- a/node/src/test/kotlin/dev/lycheehill/node/target/HeartbeatTrackerTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/target/HeartbeatTrackerTest.kt
@@ -1,6 +1,7 @@
 package dev.lycheehill.node.target
 
 import dev.lycheehill.core.time.FakeTimerService
+import dev.lycheehill.fleet.membership.Departure
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.node.view.InMemoryFleetView
@@ -73,6 +74,19 @@
         expectThat(next.refusal()) isEqualTo "draining"
     }
 
+    /** Guards against calls to a backend server that had left before its node restarted, when the node learns of that after its start. */
+    @Test
+    fun `a backend server whose departure is learned late gets no further calls`() {
+        tracker.processIfFirst(heartbeat(startedAtMs = 0, sequence = 0))
+        tracker.onDepartureLearned()
+        expectThat(target.refusal()).isNull()
+        fleet.update("n") { it.copy(departure = Departure("i-1", bornMs = 1_000)) }
+        tracker.onDepartureLearned()
+        expectThat(target.refusal()) isEqualTo "draining"
+        tracker.process(heartbeat("i-2", startedAtMs = 3_000, sequence = 1))
+        expectThat(target.refusal()).isNull()
+    }
+
     /** Guards against new calls to a backend server that has announced its shutdown, also when an older heartbeat arrives late. */
     @Test
     fun `a backend server that has announced its shutdown gets no further calls`() {
