Close a connection to a backend server after a refusal

Callers were told 'not run, try again' for requests that had run (REFUSED): a backend server wrote an earlier refusal once more on a kept connection, a refusal need not name its request (503 with X-Not-Executed, 421), and it counted for the next request. Now no request follows a refusal on its connection. Red before: FaultyBackendTest "an earlier refusal that is sent again refuses no other request", the four cases without an id, status 503 for a request that had run; the two cases with an id were safe. A response that ends within its head, cut after each of its bytes, has an unknown outcome already; the test stays.

--- a/node/src/main/kotlin/dev/lycheehill/node/relay/ResponseCollector.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/relay/ResponseCollector.kt
@@ -43,6 +43,8 @@
     override fun onResponse(response: HttpResponse) {
         head = response
         kind = kindOf(response)
+        // A refusal need not name its request. Sent again on the same connection, it would refuse the next request, which may have run.
+        if (kind == BackendResponseKind.NOT_RUN) exchange.preventReuse()
         if (kind == BackendResponseKind.INVALID) {
             exchange.cancel()
             onFailure(ExchangeFailure(Verdict.MAY_HAVE_RUN, ExchangeFailure.Kind.BAD_RESPONSE))
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/Exchange.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/Exchange.kt
@@ -42,6 +42,11 @@
         connection?.close()
     }
 
+    /** Closes the connection after this exchange instead of using it for another one. */
+    fun preventReuse() {
+        connection?.preventReuse()
+    }
+
     /** Pauses or resumes reading of the response. */
     fun setReading(reading: Boolean) {
         isPaused = !reading
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/UpstreamConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/UpstreamConnection.kt
@@ -66,6 +66,11 @@
         ctx.channel().config().isAutoRead = reading
     }
 
+    /** Closes the connection after the current exchange. */
+    fun preventReuse() {
+        isReusable = false
+    }
+
     fun close() {
         isReusable = false
         ctx.close()
