Reject member records with an incarnation that overflows

A foreign record with the id of a node and the highest incarnation made the node's own incarnation overflow, so that other nodes never saw its later states. Red before: StoreFleetTest "a record with an implausible incarnation ...", first case. Such records are reported as unreadable and skipped; the node writes its own again at its next read. Deeply nested CBOR was rejected already; the test stays.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/MemberRecord.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/membership/MemberRecord.kt
@@ -4,6 +4,9 @@
 
 private const val MAX_PORT = 65_535
 
+// Far above the wall time in milliseconds at which incarnations start, and far below the overflow.
+private const val MAX_INCARNATION = 1L shl 53
+
 /**
  * Membership record of one node and of the target next to it.
  *
@@ -32,6 +35,15 @@
     /** Whether both addresses consist of a host and a valid port. */
     val hasAddresses: Boolean get() = isAddress(controlAddress) && isAddress(dataAddress)
 
+    /** Returns why this record, which may come from a foreign writer, cannot be used; null if it can. */
+    fun invalidReason(): String? =
+        when {
+            !hasAddresses -> "an address is not ip:port"
+            incarnation !in 0..MAX_INCARNATION -> "incarnation is out of range"
+            slots < 0 -> "slots is negative"
+            else -> null
+        }
+
     private fun isAddress(text: String): Boolean =
         text.substringBeforeLast(':', "").isNotEmpty() && text.substringAfterLast(':').toIntOrNull() in 1..MAX_PORT
 }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -285,7 +285,7 @@
     }
 
     private fun onStoredMember(record: MemberRecord) {
-        if (record.nodeId == self.nodeId) storedSelf = record
+        if (record.nodeId == self.nodeId && record.invalidReason() == null) storedSelf = record
         merge(record)
         if (record.state != MemberState.GONE) repairTombstone(record)
     }
@@ -297,8 +297,9 @@
     }
 
     private fun merge(record: MemberRecord) {
-        if (!record.hasAddresses) {
-            onChange(StoreFleetEvent.RecordUnreadable(record.nodeId, "an address is not ip:port"))
+        val invalid = record.invalidReason()
+        if (invalid != null) {
+            onChange(StoreFleetEvent.RecordUnreadable(record.nodeId, invalid))
             return
         }
         if (record.nodeId == self.nodeId) {
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -276,6 +276,35 @@
         }
     }
 
+    /** Guards against a foreign record that crashes a node, stops it from following the store, or makes the node unknown to others. */
+    @ParameterizedTest
+    @ValueSource(longs = [Long.MAX_VALUE, Long.MAX_VALUE - 1, Long.MIN_VALUE, 4_102_444_800_000_000])
+    fun `a record with an implausible incarnation does not affect the node that it names`(incarnation: Long) {
+        val nodes = sim.start(3)
+        sim.advance(3_000)
+        val odd = nodes[0].fleet.self.copy(incarnation = incarnation, bootId = 9, state = MemberState.DRAINING)
+        sim.store.write(KeyedTopic.MEMBERS, "n0", MemberCodec.encode(odd))
+        sim.advance(60_000)
+        nodes[0].fleet.announce(MemberState.READY, "orders", 7)
+        sim.advance(1_000)
+        val late = sim.start(1, first = 5).single()
+        sim.advance(60_000)
+        (nodes + late).forEach { expectThat(it.fleet.members().getValue("n0").slots).describedAs(it.id) isEqualTo 7 }
+    }
+
+    /** Guards against a stack overflow, which ends the process, by a foreign record with deeply nested content. */
+    @Test
+    fun `a deeply nested record is rejected`() {
+        val depth = 200_000
+        // A map with the key "x" and, as its value, arrays of one element within each other.
+        val nested = byteArrayOf(0xa1.toByte(), 0x61, 'x'.code.toByte()) + ByteArray(depth) { 0x81.toByte() } + byteArrayOf(0)
+        var isRejected = false
+        val decoder = Thread(null, { isRejected = MemberCodec.decode(nested).isLeft() }, "decoder", SMALL_STACK_BYTES)
+        decoder.start()
+        decoder.join()
+        expectThat(isRejected).isTrue()
+    }
+
     /** Guards against a node that stops at a record that it cannot decode. */
     @Test
     fun `unreadable records are skipped`() {
@@ -449,4 +478,9 @@
             scenario(seed, sim, nodes)
             nodes.any { it.fleet.foldState().version != version }
         }
+
+    private companion object {
+        // Stack of the threads of a node.
+        const val SMALL_STACK_BYTES = 256L * 1024
+    }
 }
