--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -289,7 +289,14 @@
         sim.advance(1_000)
         val late = sim.start(1, first = 5).single()
         sim.advance(60_000)
-        (nodes + late).forEach { expectThat(it.fleet.members().getValue("n0").slots).describedAs(it.id) isEqualTo 7 }
+        (nodes + late).forEach {
+            expectThat(
+                it.fleet
+                    .members()
+                    .getValue("n0")
+                    .slots,
+            ).describedAs(it.id) isEqualTo 7
+        }
     }
 
     /** Guards against a stack overflow, which ends the process, by a foreign record with deeply nested content. */
