Restart the long read of a node that becomes the prober

A version written after an outage was late by up to 16 s when the prober had failed shortly before: its successor was still in a long read that began as a reader, so nobody noticed the return of the store. Red before: StoreFleetTest "a restore soon after a failure of the prober is noticed in time". The role is checked with each heartbeat; becoming the prober costs one call.

--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -69,7 +69,10 @@
         ) { reportStoreResult(KeyedTopic.MEMBERS, it) }
     private var subscription: Subscription? = null
     private var isSyncing = false
-    private var isStopped = false
+
+    /** Whether this node has left or was stopped. */
+    var isStopped = false
+        private set
 
     // Whether the next period repeats the heartbeat to all nodes after a change of the own record, since single datagrams may be lost.
     private var isRepeatPending = false
@@ -184,6 +187,7 @@
 
     private fun tick() {
         members.updateSuspicions()
+        configurationFollower.checkRole()
         if (isRepeatPending) sendHeartbeatToAll()
         isRepeatPending = false
         sendHeartbeat(heartbeatSchedule.next(members.peers()), heartbeat(self.takeIf { members.hasSelfChangedRecently }))
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -378,6 +378,28 @@
         expectThat(late).describedAs("seeds with a node that is late").isEmpty()
     }
 
+    /** Guards against a restore that nobody notices, because the prober has failed and its successor waits at the store. */
+    @Test
+    fun `a restore soon after a failure of the prober is noticed in time`() {
+        val late =
+            lateSeeds(version = 3) { seed, sim, nodes ->
+                val copy = sim.store.copy()
+                sim.publish(2)
+                sim.advance(1_500)
+                nodes[0].fleet.stop()
+                sim.isolate(nodes[0].id)
+                sim.advance(6_000 + seed * 20)
+                nodes.forEach { it.access.isUnresponsive = true }
+                sim.advance(200)
+                sim.store.restore(copy)
+                sim.publish(2)
+                sim.publish(3)
+                nodes.forEach { it.access.isUnresponsive = false }
+                sim.advance(5_000)
+            }
+        expectThat(late).describedAs("seeds with a node that is late").isEmpty()
+    }
+
     /** Guards against a node that nodes starting later do not know, because the store has lost its acknowledged record. */
     @Test
     fun `lost record of a node is written again within two seconds after the store was restored`() {
@@ -483,7 +505,7 @@
             sim.publish(1)
             sim.advance(5_000 + seed * 100)
             scenario(seed, sim, nodes)
-            nodes.any { it.fleet.foldState().version != version }
+            nodes.any { !it.fleet.isStopped && it.fleet.foldState().version != version }
         }
 
     private companion object {
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
@@ -39,6 +39,7 @@
     private var readStartedAtMs: Long? = null
     private var lastReadRestartAtMs = timers.nowMs() - settings.minReadRestartIntervalMs
     private var isListening = false
+    private var isProbing = false
 
     // Whether the next read must not wait at the store, because its response may show that the store was restored.
     private var isImmediateReadDue = false
@@ -87,6 +88,11 @@
         if (readStartedAtMs == null) isImmediateReadDue = true else restartRead()
     }
 
+    /** Restarts a read that is waiting at the store if this node has become the prober since the read began. Must be called periodically. */
+    fun checkRole() {
+        if (!stopped && readStartedAtMs != null && !isProbing && role() == ReaderRole.PROBER) restartRead()
+    }
+
     private fun restartRead() {
         isImmediateReadDue = true
         startRead()
@@ -144,6 +150,7 @@
         abandon()
         val expected = generation
         readStartedAtMs = timers.nowMs()
+        isProbing = role() == ReaderRole.PROBER
         store.read(topic, nextOffset, readWaitMs()) { result ->
             if (generation == expected) {
                 readStartedAtMs = null
@@ -157,7 +164,7 @@
     private fun readWaitMs(): Long =
         when {
             isFailing || isImmediateReadDue -> 0
-            role() == ReaderRole.PROBER -> settings.probeReadWaitMs
+            isProbing -> settings.probeReadWaitMs
             else -> random.nextLong(settings.maxReadWaitMs / 2, settings.maxReadWaitMs)
         }
 
