--- a/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/command/LycheehillCommand.kt
@@ -29,6 +29,7 @@
         QuarantineCommand::class,
         TraceCommand::class,
         EmulateCommand::class,
+        EmulateRestoreCommand::class,
         MeasureCommand::class,
         CompletionCommand::class,
     ],
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetSim.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetSim.kt
@@ -16,8 +16,7 @@
 ) {
     private val timers = FakeTimerService()
     val store = InMemoryKeyedStore(timers)
-    private val channels = HashMap<String, Channel>()
-    private val isolatedNodeIds = HashSet<String>()
+    private val network = InMemoryPeerNetwork(timers)
 
     class Node(
         val id: String,
@@ -51,13 +50,9 @@
 
     fun advance(ms: Long) = timers.advance(ms)
 
-    fun isolate(nodeId: String) {
-        isolatedNodeIds.add(nodeId)
-    }
+    fun isolate(nodeId: String) = network.isolate(nodeId)
 
-    fun heal(nodeId: String) {
-        isolatedNodeIds.remove(nodeId)
-    }
+    fun heal(nodeId: String) = network.heal(nodeId)
 
     private fun start(
         id: String,
@@ -66,7 +61,7 @@
         configure: (StoreAccess) -> Unit,
     ): Node {
         val access = StoreAccess().apply(configure)
-        val channel = Channel(id).also { channels[id] = it }
+        val channel = network.newChannel(id)
         val identity =
             MemberRecord(
                 nodeId = id,
@@ -90,38 +85,4 @@
         .decodeToString()
         .toLongOrNull()
         ?.let { VersionedContent(it, ConfigContent()).right() } ?: "no version under $key".left()
-
-    private inner class Channel(
-        private val id: String,
-    ) : PeerChannel {
-        override var onHeartbeat: (PeerHeartbeat) -> Unit = {}
-        override var onRequest: (SyncRequest) -> SyncReply = { SyncReply(0, null, emptyList()) }
-
-        override fun send(
-            addresses: List<String>,
-            heartbeat: PeerHeartbeat,
-        ) = addresses.map(::nodeAt).forEach { receiver ->
-            timers.after(DELAY_MS) { if (isOpen(receiver)) channels[receiver]?.onHeartbeat?.invoke(heartbeat) }
-        }
-
-        override fun ask(
-            address: String,
-            request: SyncRequest,
-            listener: (SyncReply?) -> Unit,
-        ) {
-            val receiver = nodeAt(address)
-            timers.after(DELAY_MS) {
-                val reply = if (isOpen(receiver)) channels[receiver]?.onRequest?.invoke(request) else null
-                timers.after(DELAY_MS) { listener(reply) }
-            }
-        }
-
-        private fun isOpen(receiver: String) = id !in isolatedNodeIds && receiver !in isolatedNodeIds
-
-        private fun nodeAt(address: String) = address.substringBefore(':')
-    }
-
-    private companion object {
-        const val DELAY_MS = 1L
-    }
 }
