--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/PeerHeartbeat.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/PeerHeartbeat.kt
@@ -15,8 +15,8 @@
  * @property storeBackMs time in milliseconds since the store answered the sender again after an outage without answers; null when
  *   there was no recent outage.
  * @property storeEpoch epoch of the store as the sender knows it; [StoreEpoch.UNKNOWN] if it does not.
- * @property record record of the sender, if the record has changed recently or the receiver may lack it; or the record of an earlier process of the
- *   receiver, if the receiver seems to have forgotten it.
+ * @property record record of the sender, if the record has changed recently or the receiver may lack it; or the record of an earlier
+ *   process of the receiver, if the receiver seems to have forgotten it.
  */
 @Serializable
 data class PeerHeartbeat(
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublisher.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/RecordPublisher.kt
@@ -14,7 +14,8 @@
 /**
  * Writes the newest record of this node to the store and retries until the store acknowledges the write.
  *
- * The store may lose an acknowledged record when it is restored from an older copy; [mayBeLost] and [isMissingFrom] tell when to publish again.
+ * The store may lose an acknowledged record when it is restored from an older copy; [mayBeLost] and [isLost] tell when to
+ * publish again.
  *
  * At most one write is in progress. A write without an answer may still take effect later, which is harmless because readers
  * keep the record with the higher incarnation.
@@ -38,10 +39,10 @@
     fun mayBeLost(epoch: Long): Boolean =
         acknowledged != null && acknowledgedEpoch < epoch && timers.nowMs() - acknowledgedAtMs <= settings.maxCopyAgeMs
 
-    /** Whether [read], the record of this node in the store (null if there is none), is older than the one that the store has acknowledged. */
-    fun isMissingFrom(read: MemberRecord?): Boolean {
+    /** Whether the store has lost the acknowledged record of this node, given that the node has read [stored] there; null if nothing. */
+    fun isLost(stored: MemberRecord?): Boolean {
         val expected = acknowledged ?: return false
-        return !isWriting && (read == null || read.incarnation < expected.incarnation)
+        return !isWriting && (stored == null || stored.incarnation < expected.incarnation)
     }
 
     /**
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -29,6 +29,8 @@
  * member table, and a node that lacks data requests the data from the sender. A node whose calls the store rejects, and a zone without
  * a connection to the store, therefore still receive what any other node has.
  *
+ * When the store comes back from an older copy, the nodes read the configurations again and write the records again that it has lost.
+ *
  * All functions must be called on the thread of [timers], except the read functions of [FleetView], which take no lock.
  *
  * @param identity initial record of this node.
@@ -50,17 +52,17 @@
     private val random = Random(seed)
     private val members = ObservedMembers(identity, timers, settings)
     private val epochs = StoreEpochTracker(::onStoreRestored)
-    private val store: KeyedStore = EpochTrackingStore(store, epochs)
-    private val publisher = RecordPublisher(this.store, timers, settings, random, onChange)
-    private val tombstoneRepair = TombstoneRepair(this.store, timers, settings, random, members::tombstone)
+    private val trackedStore = EpochTrackingStore(store, epochs)
+    private val publisher = RecordPublisher(trackedStore, timers, settings, random, onChange)
+    private val tombstoneRepair = TombstoneRepair(trackedStore, timers, settings, random, members::tombstone)
     private val heartbeatSchedule = HeartbeatSchedule(settings, random)
     private val configurationFollower =
-        TopicFollower(this.store, KeyedTopic.CONFIGURATION, timers, settings.follower, random, members::role, ::onConfigurationRecord) {
+        TopicFollower(trackedStore, KeyedTopic.CONFIGURATION, timers, settings.follower, random, members::role, ::onConfigurationRecord) {
             onConfigurationStoreResult(it)
         }
     private val directoryReader =
         DirectoryReader(
-            this.store,
+            trackedStore,
             timers,
             settings,
             random,
@@ -155,7 +157,7 @@
     private fun onDirectoryRead() {
         when {
             !directoryReader.hasReadTwice -> publishAndRead()
-            publisher.isMissingFrom(storedSelf) -> publisher.publish(self)
+            publisher.isLost(storedSelf) -> publisher.publish(self)
         }
         storedSelf = null
         reportMembersRead()
@@ -317,8 +319,8 @@
         }
     }
 
-    // A member that has restarted may have found no record of its earlier process, because the store has lost it. Its departure is then only
-    // known to the other members.
+    // A member that has restarted may have found no record of its earlier process, because the store has lost it. Its departure is then
+    // known to the other members only.
     private fun mergePeer(record: MemberRecord) {
         val previous = members.find(record.nodeId)
         if (!members.merge(record)) return
@@ -353,7 +355,8 @@
         recoverRecord(epoch)
     }
 
-    // While the record of this node was lost, nodes may have started that this node does not know, so it reads all records as at its start.
+    // While the record of this node was lost, nodes may have started that this node does not know, so it reads all records as at its
+    // start.
     private fun recoverRecord(epoch: Long) {
         timers.after(random.nextLong(settings.syncJitterMs)) { if (!isStopped && publisher.mayBeLost(epoch)) publishAndRead() }
     }
--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetSettings.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleetSettings.kt
@@ -25,8 +25,8 @@
  * @property directoryPeriodMs mean period in which the member records are read again to find changes that no heartbeat delivered.
  * @property maxRetryDelayMs longest delay before a failed call to the store is retried. Records must be written within 2 s after the
  *   store is available again.
- * @property maxCopyAgeMs age of the oldest copy from which the store is expected to be restored. A node whose record was acknowledged within
- *   this time writes it again at once; other losses are found when all records are read next.
+ * @property maxCopyAgeMs age of the oldest copy from which the store is expected to be restored. A node whose record was acknowledged
+ *   within this time writes it again at once; other losses are found when all records are read next.
  * @property follower settings of the reads that follow the configurations.
  */
 data class StoreFleetSettings(
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/StoreError.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/StoreError.kt
@@ -15,7 +15,7 @@
         override val reason: String,
     ) : StoreError
 
-    /** The store was restored from an older copy after the response was sent, and may have lost what the response acknowledges or describes. */
+    /** The store was restored from an older copy since, and may have lost what the response acknowledges or describes. */
     data class Superseded(
         override val reason: String,
     ) : StoreError
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
@@ -88,7 +88,7 @@
         if (readStartedAtMs == null) isImmediateReadDue = true else restartRead()
     }
 
-    /** Restarts a read that is waiting at the store if this node has become the prober since the read began. Must be called periodically. */
+    /** Restarts a read that waits at the store if this node has become the prober since it began. Must be called periodically. */
     fun checkRole() {
         if (!stopped && readStartedAtMs != null && !isProbing && role() == ReaderRole.PROBER) restartRead()
     }
