--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/TopicFollower.kt
@@ -90,7 +90,8 @@
 
     /** Restarts a read that waits at the store if this node has become the prober since it began. Must be called periodically. */
     fun checkRole() {
-        if (!stopped && readStartedAtMs != null && !isProbing && role() == ReaderRole.PROBER) restartRead()
+        if (stopped || readStartedAtMs == null || isProbing) return
+        if (role() == ReaderRole.PROBER) restartRead()
     }
 
     private fun restartRead() {
