--- a/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
+++ b/fleet/src/main/kotlin/dev/lycheehill/fleet/store/StoreFleet.kt
@@ -209,7 +209,7 @@
         if (heartbeat.nodeId == self.nodeId) return
         heartbeat.record?.let(::merge)
         heartbeat.storeBackMs?.let(configurationFollower::onStoreRecovered)
-        if (epochs.isNewsOfRestore(heartbeat.storeEpoch)) onRestoreReported(heartbeat.storeEpoch)
+        if (epochs.recordReport(heartbeat.storeEpoch)) onRestoreReported(heartbeat.storeEpoch)
         members.recordHeartbeat(heartbeat.nodeId, heartbeat.version)
         // An unknown sender has read this node's record from the store, and sends its own record once that is written.
         val sender = members.find(heartbeat.nodeId) ?: return
--- a/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
+++ b/fleet/src/test/kotlin/dev/lycheehill/fleet/store/StoreFleetTest.kt
@@ -378,6 +378,22 @@
         expectThat(late).describedAs("seeds with a node that is late").isEmpty()
     }
 
+    /** Guards against a node that stays at the version of the copy, because it started before the operator wrote the newest version again. */
+    @Test
+    fun `a node that restarts across the return of a restored store gets the newest version from other nodes`() {
+        val nodes = sim.start(4)
+        sim.publish(1)
+        sim.advance(3_000)
+        val copy = sim.store.copy()
+        sim.publish(2)
+        sim.advance(2_000)
+        nodes[2].fleet.stop()
+        sim.store.restore(copy)
+        val restarted = sim.restart(nodes[2])
+        sim.advance(2_000)
+        expectThat(restarted.fleet.foldState().version) isEqualTo 2
+    }
+
     /** Guards against a restore that nobody notices, because the prober has failed and its successor waits at the store. */
     @Test
     fun `a restore soon after a failure of the prober is noticed in time`() {
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/StoreEpochTracker.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/keyed/StoreEpochTracker.kt
@@ -21,7 +21,7 @@
      *
      * The report does not change [current], which would make this node refuse the responses of the store if the report were wrong.
      */
-    fun isNewsOfRestore(epoch: Long): Boolean {
+    fun recordReport(epoch: Long): Boolean {
         if (current == StoreEpoch.UNKNOWN || epoch <= maxOf(current, reported)) return false
         reported = epoch
         return true
--- a/platform-log/src/test/kotlin/dev/lycheehill/platformlog/keyed/StoreEpochTrackerTest.kt
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/keyed/StoreEpochTrackerTest.kt
@@ -37,11 +37,11 @@
     /** Guards against a wrong report of another node that makes this node refuse the store's responses. */
     @Test
     fun `a report of a later epoch is news once and does not affect the responses that are valid`() {
-        expectThat(tracker.isNewsOfRestore(9)).isFalse()
+        expectThat(tracker.recordReport(9)).isFalse()
         tracker.observe(4)
-        expectThat(tracker.isNewsOfRestore(4)).isFalse()
-        expectThat(tracker.isNewsOfRestore(9)).isTrue()
-        expectThat(tracker.isNewsOfRestore(9)).isFalse()
+        expectThat(tracker.recordReport(4)).isFalse()
+        expectThat(tracker.recordReport(9)).isTrue()
+        expectThat(tracker.recordReport(9)).isFalse()
         expectThat(tracker.observe(4)).isTrue()
         expectThat(restores.isEmpty()).isTrue()
     }
--- a/platform-log/src/test/kotlin/dev/lycheehill/platformlog/keyed/TopicFollowerTest.kt
+++ b/platform-log/src/test/kotlin/dev/lycheehill/platformlog/keyed/TopicFollowerTest.kt
@@ -4,6 +4,8 @@
 import dev.lycheehill.platformlog.memory.InMemoryKeyedStore
 import dev.lycheehill.platformlog.memory.StoreAccess
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
@@ -129,6 +131,43 @@
         expectThat(delivered.last()) isEqualTo "config=3"
     }
 
+    /** Guards against a missed record for each position of the new end of the log: below, at and beyond the awaited offset, which is 4. */
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2, 3, 4, 6])
+    fun `the newest record is delivered wherever the log of a restored store ends`(recordsAfterRestore: Int) {
+        write("config", "1")
+        val copy = store.copy()
+        listOf("2", "3", "4").forEach { write("config", it) }
+        follower.start()
+        timers.advance(1_000)
+        access.isRefusing = true
+        timers.advance(1_000)
+        store.restore(copy)
+        repeat(recordsAfterRestore) { write("config", "${5 + it}") }
+        access.isRefusing = false
+        timers.advance(2_000)
+        expectThat(delivered.last()) isEqualTo "config=${4 + recordsAfterRestore}"
+    }
+
+    /** Guards against a second restore that is taken for the first one. */
+    @Test
+    fun `the newest record is delivered after two restores in a row`() {
+        write("config", "1")
+        val copy = store.copy()
+        write("config", "2")
+        follower.start()
+        timers.advance(1_000)
+        listOf("3", "4").forEach {
+            access.isRefusing = true
+            timers.advance(300)
+            store.restore(copy)
+            write("config", it)
+            access.isRefusing = false
+            timers.advance(800)
+            expectThat(delivered.last()) isEqualTo "config=$it"
+        }
+    }
+
     /** Guards against pages that are joined although the store was restored between their reads. */
     @Test
     fun `all pages are read again when the store was restored between two of them`() {
@@ -161,11 +200,11 @@
         write("config", "3")
         timers.advance(100)
         expectThat(delivered.last()) isEqualTo "config=2"
-        expectThat(epochs.isNewsOfRestore(store.epoch)).isTrue()
+        expectThat(epochs.recordReport(store.epoch)).isTrue()
         follower.onRestoreReported()
         timers.advance(100)
         expectThat(delivered.last()) isEqualTo "config=3"
-        expectThat(epochs.isNewsOfRestore(store.epoch)).isFalse()
+        expectThat(epochs.recordReport(store.epoch)).isFalse()
     }
 
     private companion object {
