--- a/review/harness/Uploads.java
+++ b/review/harness/Uploads.java
@@ -13,7 +13,7 @@
 final class Uploads {
     private static final int BODY_BYTES = 6 * 1024 * 1024;
     private static final int BYTES_PER_S = 5 * 1024 * 1024;
-    private static final int UPLOADERS = 7;
+    private static final int UPLOADERS = 8;
     private static final double BURST = 1.7;
     private static final int BURST_MS = 3_000;
     private static final int SMALL_CLIENTS = 16;
