--- a/cli/src/main/kotlin/dev/lycheehill/cli/logs/RequestExplanation.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/logs/RequestExplanation.kt
@@ -12,9 +12,10 @@
 ) {
     private val callEnded = entries.filter { it.message == CALL_ENDED }.groupBy { it.requestId }
     private val targetEnded = entries.filter { it.message == TARGET_ENDED }.groupBy { it.requestId }
+    private val unanswered = entries.filter { it.message == UNANSWERED }.groupBy { it.requestId }
 
     /** Whether any log entry belongs to the request. */
-    val isFound: Boolean get() = requestId in callEnded || requestId in targetEnded
+    val isFound: Boolean get() = requestId in callEnded || requestId in targetEnded || requestId in unanswered
 
     /** Returns the explanation as lines of text. */
     fun text(): List<String> = describe(requestId, "") + describeSuppressedLines()
@@ -23,8 +24,9 @@
         id: String,
         indent: String,
     ): List<String> {
-        val callerEntries = callEnded[id].orEmpty()
-        val targetEntries = targetEnded[id].orEmpty()
+        val (unansweredAtTarget, unansweredAtCaller) = unanswered[id].orEmpty().partition { it.fields["source"] == "nodes" }
+        val callerEntries = callEnded[id].orEmpty() + unansweredAtCaller
+        val targetEntries = targetEnded[id].orEmpty() + unansweredAtTarget
         val head =
             if (callerEntries.isEmpty()) {
                 listOf(
@@ -33,7 +35,7 @@
             } else {
                 callerEntries.map { describeCaller(it, indent) }
             }
-        val triedTargets = callerEntries.flatMap { it.targets }
+        val triedTargets = callerEntries.flatMap { it.targets }.distinct()
         val atTriedTargets = triedTargets.map { describeTarget(it, targetEntries.filter { entry -> entry.process == it }, indent) }
         val atOthers = targetEntries.filter { it.process !in triedTargets }.map { "$indent  at ${it.process}: ${describeOutcome(it)}" }
         return head + atTriedTargets + atOthers + childRequestIdsOf(id).flatMap { describe(it, "$indent    ") }
@@ -57,14 +59,23 @@
 
     private fun describeOutcome(entry: DecisionLogEntry): String {
         val reason = entry.fields["reason"]
-        val parts = listOfNotNull(entry.fields["verdict"], entry.fields["status"], reason, reason?.let(REASONS::get)?.let { "($it)" })
+        val result = if (entry.message == UNANSWERED) "not answered" else null
+        val cause = entry.fields["cause"]
+        val parts =
+            listOfNotNull(result, entry.fields["verdict"], entry.fields["status"], reason, reason?.let(REASONS::get)?.let { "($it)" }) +
+                listOfNotNull(cause, cause?.let(CAUSES::get)?.let { "($it)" })
         val shownFields = entry.fields.filterKeys { it in SHOWN_FIELDS }.map { (name, value) -> "$name=$value" }
         return (parts + shownFields).joinToString(" ")
     }
 
     // The id of a child call consists of the id of the parent request, a dot and a suffix without dots.
     private fun childRequestIdsOf(id: String): List<String> =
-        (callEnded.keys + targetEnded.keys).filterNotNull().filter { it.startsWith("$id.") && '.' !in it.removePrefix("$id.") }.distinct()
+        (callEnded.keys + targetEnded.keys + unanswered.keys)
+            .filterNotNull()
+            .filter {
+                it.startsWith("$id.") &&
+                    '.' !in it.removePrefix("$id.")
+            }.distinct()
 
     private fun describeSuppressedLines(): List<String> =
         entries
@@ -76,6 +87,7 @@
     private companion object {
         const val CALL_ENDED = "call-ended"
         const val TARGET_ENDED = "target-call-ended"
+        const val UNANSWERED = "unanswered-call"
         const val NO_LINE_REASON = "which is normal after a success on the first target"
 
         val SHOWN_FIELDS =
@@ -95,6 +107,21 @@
                 "left_ms",
                 "deadline_ms",
                 "instance",
+                "stage",
+                "error",
+            )
+
+        val CAUSES =
+            mapOf(
+                "peer_closed" to "the sender of the request closed its connection",
+                "connection_error" to "reading from or writing to the connection failed",
+                "idle_timeout" to "the connection had carried no call for too long",
+                "invalid_request" to "the node refused an earlier request of the connection as invalid",
+                "closing_response" to "the response to an earlier request closed the connection",
+                "aborted_response" to "a response could not be completed after its beginning had been sent",
+                "stop" to "the connection carried no call when the node closed its listeners",
+                "linger_timeout" to "the sender did not close the connection after the last response",
+                "node_end" to "the node ended",
             )
 
         val REASONS =
--- a/cli/src/test/kotlin/dev/lycheehill/cli/logs/RequestExplanationTest.kt
+++ b/cli/src/test/kotlin/dev/lycheehill/cli/logs/RequestExplanationTest.kt
@@ -80,6 +80,33 @@
         )
     }
 
+    /** Guards against a request that a stop has cut off and that the command does not find, or takes for one that its caller has given up. */
+    @Test
+    fun `a request that a stop cuts off is explained with the cause and the stage`() {
+        val entries =
+            listOf(
+                entry(
+                    "a",
+                    "unanswered-call",
+                    "request" to "1",
+                    "source" to "callers",
+                    "cause" to "node_end",
+                    "stage" to "passed_on",
+                    "targets" to "b",
+                ),
+                entry("a", "call-ended", "request" to "1", "targets" to "b", "verdict" to "may-have-run", "reason" to "caller-gone"),
+                entry("b", "unanswered-call", "request" to "1", "source" to "nodes", "cause" to "peer_closed", "stage" to "passed_on"),
+            )
+        val explanation = RequestExplanation("1", entries)
+        expectThat(explanation.isFound).isTrue()
+        expectThat(explanation.text()).containsExactly(
+            "request 1 at a: may-have-run caller-gone (the caller closed its connection)",
+            "request 1 at a: not answered node_end (the node ended) stage=passed_on",
+            "  at b: not answered peer_closed (the sender of the request closed its connection) stage=passed_on",
+        )
+        expectThat(RequestExplanation("1", entries.take(1)).isFound).isTrue()
+    }
+
     /** Guards against a failure of the command on lines that other programs wrote to the file. */
     @Test
     fun `lines without a JSON object are skipped`() {
--- a/node/src/main/kotlin/dev/lycheehill/node/HttpListener.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/HttpListener.kt
@@ -2,7 +2,9 @@
 
 import dev.lycheehill.node.http.CallHandler
 import dev.lycheehill.node.http.CallerConnection
+import dev.lycheehill.node.http.ConnectionObserver
 import dev.lycheehill.node.http.ConnectionSet
+import dev.lycheehill.node.http.OpenWork
 import dev.lycheehill.node.http.RequestTimeoutHandler
 import dev.lycheehill.node.http.StrictRequestDecoder
 import dev.lycheehill.node.loop.Transport
@@ -16,12 +18,15 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.util.concurrent.Future
 import java.net.InetSocketAddress
 
 /**
  * An HTTP/1.1 listener of a node. [handler] serves the calls on the event loops of [group].
  *
  * Connections beyond [DataPathSettings.maxConnections] are closed as soon as they are accepted.
+ *
+ * @param observer receives the ends of the connections.
  */
 internal class HttpListener(
     private val settings: DataPathSettings,
@@ -29,6 +34,7 @@
     private val group: EventLoopGroup,
     private val handler: CallHandler,
     private val metrics: NodeMetrics,
+    private val observer: ConnectionObserver = ConnectionObserver.None,
 ) {
     private val connections = ConnectionSet()
     private lateinit var channel: Channel
@@ -39,6 +45,9 @@
     /** Whether the listener has no open connections. */
     val isIdle: Boolean get() = connections.isEmpty
 
+    /** Unfinished work of the connections. */
+    val openWork: OpenWork get() = connections.openWork()
+
     /** Binds [bindAddress], waits until it is bound, and starts to accept connections. */
     fun start(bindAddress: HostPort) {
         channel =
@@ -62,6 +71,9 @@
         connections.closeWhenIdle()
     }
 
+    /** Reports the calls without a complete response because the node ends. Returns one future for each connection that has any. */
+    fun reportUnanswered(): List<Future<*>> = connections.reportUnanswered()
+
     /** Closes the listener and all connections immediately. */
     fun closeNow() {
         channel.close()
@@ -85,7 +97,7 @@
                     timeoutHandler,
                     StrictRequestDecoder(settings),
                     HttpResponseEncoder(),
-                    CallerConnection(settings, timeoutHandler, connections, handler, metrics),
+                    CallerConnection(settings, timeoutHandler, connections, handler, metrics, observer),
                 )
             }
         }
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -3,6 +3,7 @@
 import dev.lycheehill.calls.admission.RequestAgeEstimator
 import dev.lycheehill.calls.quarantine.CrashQuarantine
 import dev.lycheehill.calls.verdict.CallTreeAllowances
+import dev.lycheehill.core.time.NANOS_PER_MILLI
 import dev.lycheehill.core.time.Subscription
 import dev.lycheehill.core.time.TimerService
 import dev.lycheehill.fleet.FleetView
@@ -22,10 +23,13 @@
 import dev.lycheehill.node.ingress.AdmissionTicker
 import dev.lycheehill.node.ingress.IngressEnvironment
 import dev.lycheehill.node.ingress.IngressHandler
+import dev.lycheehill.node.http.ConnectionObserver
+import dev.lycheehill.node.http.OpenWork
 import dev.lycheehill.node.keys.KeyedRequestCoordinator
 import dev.lycheehill.node.logging.DecisionLog
 import dev.lycheehill.node.loop.LoopContexts
 import dev.lycheehill.node.loop.Transport
+import dev.lycheehill.node.metrics.CallSource
 import dev.lycheehill.node.metrics.NodeMeter
 import dev.lycheehill.node.metrics.NodeMetrics
 import dev.lycheehill.node.policy.CallPolicies
@@ -34,6 +38,9 @@
 import dev.lycheehill.node.quarantine.EvidenceChannel
 import dev.lycheehill.node.routing.EndpointIndex
 import dev.lycheehill.node.routing.Router
+import dev.lycheehill.node.stop.StopPhase
+import dev.lycheehill.node.stop.StopReport
+import dev.lycheehill.node.stop.UnansweredCallReporter
 import dev.lycheehill.node.target.BackendStatements
 import dev.lycheehill.node.target.LocalTarget
 import dev.lycheehill.node.target.RunningRequests
@@ -89,8 +96,9 @@
     private val stopDeadline = StopDeadline()
     private val serviceTable = ServiceTable(policies, fleet.self.zone, settings.seed)
     private val router = Router()
-    private val egressListener = HttpListener(settings, transport, group, egressHandler(), metrics)
-    private val ingressListener = HttpListener(settings, transport, group, ingressHandler(), metrics)
+    private val unansweredCallLog = DecisionLog(linesPerSecond = UnansweredCallReporter.MAX_LISTED_CALLS)
+    private val egressListener = HttpListener(settings, transport, group, egressHandler(), metrics, observer(CallSource.CALLERS))
+    private val ingressListener = HttpListener(settings, transport, group, ingressHandler(), metrics, observer(CallSource.NODES))
     private val apiGroup: EventLoopGroup = networkOptions.group ?: Transport.NIO.newGroup(1, "lycheehill-api")
     private val additionalListeners =
         networkOptions.listeners.map {
@@ -106,6 +114,9 @@
     private val apiListener = HttpListener(settings, Transport.NIO, apiGroup, ApiHandler(apiEndpoints() + additionalEndpoints), metrics)
     private var subscriptions = emptyList<Subscription>()
 
+    /** Report about the stop of this node. */
+    internal val stopReport = StopReport(DecisionLog(), metrics, ::openWork)
+
     /** Address that the listener for callers is bound to. */
     val egressAddress: InetSocketAddress get() = egressListener.address
 
@@ -121,6 +132,7 @@
         metrics.bindGauge(NodeMeter.IN_FLIGHT) { target.inFlight }
         metrics.bindGauge(NodeMeter.BACKEND_LIMIT) { statements.maxRequestsPerSecond ?: 0 }
         metrics.bindGauge(NodeMeter.CONFIG_VERSION) { fleet.foldState().version }
+        metrics.bindGauge(NodeMeter.STOP_ELAPSED) { stopReport.elapsedMs / MILLIS_PER_SECOND }
         ingressListener.start(settings.ingress)
         egressListener.start(settings.egress)
         apiListener.start(settings.localApi)
@@ -141,20 +153,37 @@
 
     /** Drains the node, waits up to [DataPathSettings.drainTimeoutMs] for the calls in flight, and ends the node. */
     fun stop() {
+        stopReport.begin()
         drain()
-        closeGracefully(settings.drainTimeoutMs)
+        stopReport.enter(StopPhase.CLOSING, plannedMs = 0, "timeout_ms" to settings.drainTimeoutMs)
+        val isIdle = closeGracefully(settings.drainTimeoutMs)
+        val isReported = reportUnanswered()
+        stopReport.enter(StopPhase.ENDED, settings.drainTimeoutMs, "all_answered" to isIdle, "calls_listed" to isReported)
         kill()
     }
 
     /**
      * Stops accepting connections from callers and other nodes, and waits up to [timeoutMs] for the calls in flight. A request
-     * that is complete only now is refused if its deadline is after this time.
+     * that is complete only now is refused if its deadline is after this time. Returns whether all calls are complete.
      */
-    fun closeGracefully(timeoutMs: Long) {
+    fun closeGracefully(timeoutMs: Long): Boolean {
         stopDeadline.set(timeoutMs, System.nanoTime())
         ingressListener.closeWhenIdle()
         egressListener.closeWhenIdle()
-        awaitIdle(timeoutMs)
+        return awaitIdle(timeoutMs)
+    }
+
+    /**
+     * Reports the calls that the end of the node cuts off, and waits up to [REPORT_TIMEOUT_MS] for the event loops. Returns whether the
+     * report is complete. A call that is answered later is not reported again.
+     */
+    internal fun reportUnanswered(): Boolean {
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REPORT_TIMEOUT_MS)
+        val reports = ingressListener.reportUnanswered() + egressListener.reportUnanswered()
+        return reports.all { report ->
+            val leftMs = (endNanos - System.nanoTime()) / NANOS_PER_MILLI
+            report.await(leftMs.coerceAtLeast(0), TimeUnit.MILLISECONDS)
+        }
     }
 
     /** Ends the node immediately and closes all connections. */
@@ -168,11 +197,22 @@
         group.shutdownGracefully(0, KILL_TIMEOUT_MS, TimeUnit.MILLISECONDS).await(KILL_TIMEOUT_MS)
     }
 
-    private fun awaitIdle(timeoutMs: Long) {
+    private fun awaitIdle(timeoutMs: Long): Boolean {
         val deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
-        while (System.nanoTime() < deadlineNanos && !(ingressListener.isIdle && egressListener.isIdle)) Thread.sleep(IDLE_POLL_PERIOD_MS)
+        while (System.nanoTime() < deadlineNanos && !isIdle()) Thread.sleep(IDLE_POLL_PERIOD_MS)
+        return isIdle()
     }
 
+    private fun isIdle() = ingressListener.isIdle && egressListener.isIdle
+
+    private fun openWork(source: CallSource): OpenWork =
+        when (source) {
+            CallSource.CALLERS -> egressListener.openWork
+            CallSource.NODES -> ingressListener.openWork
+        }
+
+    private fun observer(source: CallSource) = UnansweredCallReporter(source, dialect, metrics, unansweredCallLog) { stopReport.isStopping }
+
     private fun egressHandler() =
         EgressHandler(
             EgressEnvironment(
@@ -230,6 +270,8 @@
         const val DEFAULT_MAX_QUEUE = 40
         const val KILL_TIMEOUT_MS = 2_000L
         const val IDLE_POLL_PERIOD_MS = 10L
+        const val REPORT_TIMEOUT_MS = 100L
+        const val MILLIS_PER_SECOND = 1_000.0
         val MAX_SERVICE_IDLE_NANOS = TimeUnit.MINUTES.toNanos(10)
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -9,6 +9,7 @@
 import dev.lycheehill.core.Verdict
 import dev.lycheehill.core.time.NANOS_PER_MILLI
 import dev.lycheehill.node.http.CallHeaders
+import dev.lycheehill.node.http.CallProgress
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.http.InboundCallListener
 import dev.lycheehill.node.loop.LoopContext
@@ -86,6 +87,13 @@
         finish(verdict, null, CALLER_GONE)
     }
 
+    override fun progress() =
+        CallProgress(
+            isPassedOn = mayHaveRun || streamingAttempt != null || runningAttempts.any { it.isSent },
+            targetIds = triedTargetIds.toList(),
+            leftMs = deadline.remainingMs(System.nanoTime()),
+        )
+
     override fun onWritable() {
         streamingAttempt?.collector?.resume()
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -2,6 +2,7 @@
 
 import dev.lycheehill.core.Verdict
 import dev.lycheehill.node.DataPathSettings
+import dev.lycheehill.node.metrics.CloseCause
 import dev.lycheehill.node.metrics.NodeMetrics
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.Unpooled
@@ -23,7 +24,9 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.Future
 import java.net.InetSocketAddress
+import java.nio.channels.ClosedChannelException
 
 /**
  * Connection of a caller. Receives complete requests, passes each to the handler and writes the responses in request order.
@@ -38,6 +41,7 @@
     private val connections: ConnectionSet,
     private val handler: CallHandler,
     private val metrics: NodeMetrics,
+    private val observer: ConnectionObserver,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var ctx: ChannelHandlerContext
     private val pendingMessages = ArrayDeque<HttpObject>()
@@ -52,6 +56,35 @@
     private var isDraining = false
     private var isProcessing = false
 
+    @Volatile
+    private var closeCause: CloseCause? = null
+    private var closeError: Throwable? = null
+    private var closingCall: InboundCall? = null
+    private var isReported = false
+
+    // Complete responses that the operating system has not accepted entirely.
+    private val unsentCalls = ArrayDeque<InboundCall>()
+
+    /** Number of complete requests whose responses are not complete. Written by the event loop, read by any thread. */
+    @Volatile
+    var openCallCount = 0
+        private set
+
+    @Volatile
+    private var isReceiving = false
+
+    /** Bytes that were written and that the operating system has not accepted. Thread-safe. */
+    val unsentBytes: Long
+        get() =
+            ctx
+                .channel()
+                .unsafe()
+                .outboundBuffer()
+                ?.totalPendingWriteBytes() ?: 0
+
+    /** Whether the connection has a request without a complete response, or unsent bytes. Thread-safe. */
+    val hasOpenWork: Boolean get() = openCallCount > 0 || isReceiving || unsentBytes > 0
+
     val isWritable: Boolean get() = ctx.channel().isWritable
     val isIdle: Boolean get() = calls.isEmpty() && head == null && pendingMessages.isEmpty()
 
@@ -64,7 +97,7 @@
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
         body = BodyBuffer(ctx.alloc())
-        lingeringClose = LingeringClose(ctx)
+        lingeringClose = LingeringClose(ctx, ::onLingerTimeout)
         connections.add(this)
     }
 
@@ -73,6 +106,7 @@
         msg: Any,
     ) {
         if (isClosing || msg !is HttpObject) {
+            if (msg is HttpRequest) reportReleased(msg, CallStage.DISCARDED)
             ReferenceCountUtil.release(msg)
             return
         }
@@ -90,8 +124,10 @@
         connections.remove(this)
         lingeringClose.onClosed()
         isClosing = true
+        if (closeCause == null) closeCause = CloseCause.PEER_CLOSED
         endRemainingCalls()
         releasePending()
+        observer.onConnectionClosed(closeCause ?: CloseCause.PEER_CLOSED)
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
@@ -104,7 +140,7 @@
     ) {
         when (evt) {
             RequestTimeoutHandler.Expired.REQUEST -> if (calls.isEmpty()) reject(HttpResponseStatus.REQUEST_TIMEOUT)
-            RequestTimeoutHandler.Expired.IDLE -> if (isIdle) closeAfterResponses()
+            RequestTimeoutHandler.Expired.IDLE -> if (isIdle) closeAfterResponses(CloseCause.IDLE_TIMEOUT)
             else -> ctx.fireUserEventTriggered(evt)
         }
     }
@@ -114,6 +150,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        if (isErrorOfConnection(cause)) setCloseCause(CloseCause.CONNECTION_ERROR, cause)
         ctx.close()
     }
 
@@ -139,9 +176,12 @@
     fun onCallDone(call: InboundCall) {
         if (!isFirst(call)) return
         while (calls.firstOrNull()?.isDone == true) {
-            val closes = calls.removeFirst().closesConnection
-            if (closes || isClosing) {
-                closeAfterResponses()
+            val done = calls.removeFirst()
+            openCallCount = calls.size
+            trackUnsent(done)
+            if (done.closesConnection || isClosing) {
+                closingCall = done
+                closeAfterResponses(if (done.isAborted) CloseCause.ABORTED_RESPONSE else CloseCause.CLOSING_RESPONSE)
                 return
             }
             calls.firstOrNull()?.onBecameFirst()
@@ -156,10 +196,23 @@
         ctx.executor().execute {
             isDraining = true
             calls.lastOrNull()?.closeAfterResponse()
-            if (isIdle) closeAfterResponses()
+            if (isIdle) closeAfterResponses(CloseCause.STOP)
         }
     }
 
+    /** Called before [call] ends with an incomplete response. */
+    fun onCallAborted(call: InboundCall) = report(call, CallStage.STREAMING, CloseCause.ABORTED_RESPONSE)
+
+    /** Reports the calls without a complete response because the node ends. Returns a future of the report. */
+    fun reportUnanswered(): Future<*> =
+        ctx.executor().submit {
+            setCloseCause(CloseCause.NODE_END)
+            unsentCalls.forEach { report(it, CallStage.UNSENT) }
+            calls.forEach(::reportUnfinished)
+            reportPending()
+            isReported = true
+        }
+
     /** Sets `SO_LINGER` to 0, so that closing the connection sends a TCP reset. */
     fun resetOnClose() {
         resetsOnClose = true
@@ -168,6 +221,7 @@
 
     /** Closes the connection immediately. */
     fun closeNow() {
+        closeCause = CloseCause.NODE_END
         ctx.close()
     }
 
@@ -214,6 +268,7 @@
             return
         }
         head = request
+        isReceiving = true
         timeouts.onHeadersReceived()
         if (HttpUtil.is100ContinueExpected(request)) writeAndFlush(CONTINUE.retainedDuplicate())
     }
@@ -243,10 +298,12 @@
     private fun dispatch() {
         val request = head ?: return
         head = null
+        isReceiving = false
         timeouts.onBodyReceived()
         val call = InboundCall(this, request, body.take(), ctx.channel().eventLoop(), ctx.channel().remoteAddress() as? InetSocketAddress)
         if (isDraining) call.closeAfterResponse()
         calls.addLast(call)
+        openCallCount = calls.size
         if (calls.size == 1 || calls.all(handler::mayRunConcurrently)) serve(call) else deferredCall = call
     }
 
@@ -260,7 +317,12 @@
     // A response that closes the connection tells the caller that later requests were not processed, so calls behind this response
     // that are already being handled are ended.
     private fun endRemainingCalls() {
-        while (true) (calls.removeLastOrNull() ?: break).apply { if (isDone) releaseHeld() else callerDisconnected() }
+        while (true) {
+            val call = calls.removeLastOrNull() ?: break
+            reportUnfinished(call)
+            if (call.isDone) call.releaseHeld() else call.callerDisconnected()
+        }
+        openCallCount = 0
         deferredCall = null
     }
 
@@ -291,13 +353,15 @@
             .set(CallHeaders.VERDICT, "not-run")
             .set(CallHeaders.REASON, "invalid-request")
         ctx.write(response)
-        closeAfterResponses()
+        head = null
+        closeAfterResponses(CloseCause.INVALID_REQUEST)
     }
 
     // Closes the connection except on an exception and at the end of the process. Calls without a response are ended.
-    private fun closeAfterResponses() {
+    private fun closeAfterResponses(cause: CloseCause) {
         if (isClosing) return
         isClosing = true
+        setCloseCause(cause)
         endRemainingCalls()
         releasePending()
         if (resetsOnClose) {
@@ -308,10 +372,74 @@
     }
 
     private fun releasePending() {
+        reportPending()
         pendingMessages.forEach(ReferenceCountUtil::release)
         pendingMessages.clear()
         body.release()
         head = null
+        isReceiving = false
+    }
+
+    // Writes that fail because the connection is closed already also cause exceptions.
+    private fun isErrorOfConnection(error: Throwable) =
+        error !is ClosedChannelException && closeCause != CloseCause.NODE_END && (closeCause == null || unsentCalls.isNotEmpty())
+
+    private fun setCloseCause(
+        cause: CloseCause,
+        error: Throwable? = null,
+    ) {
+        closeCause = cause
+        closeError = error
+    }
+
+    private fun onLingerTimeout() {
+        setCloseCause(CloseCause.LINGER_TIMEOUT)
+        closingCall?.let { report(it, CallStage.UNCONFIRMED) }
+    }
+
+    // The write of an empty buffer completes when the operating system has accepted the response, and fails if it never does.
+    private fun trackUnsent(call: InboundCall) {
+        if (call.isAborted || unsentBytes == 0L) return
+        unsentCalls.addLast(call)
+        ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { sent ->
+            unsentCalls.remove(call)
+            if (!sent.isSuccess) report(call, CallStage.UNSENT, error = closeError ?: sent.cause())
+        }
+    }
+
+    private fun reportUnfinished(call: InboundCall) {
+        if (call.isAborted) return
+        report(call, stageOf(call))
+    }
+
+    private fun stageOf(call: InboundCall) =
+        when {
+            call.isDone -> CallStage.HELD
+            call.isAnswered -> CallStage.STREAMING
+            call === deferredCall -> CallStage.DEFERRED
+            call.listener?.progress()?.isPassedOn == true -> CallStage.PASSED_ON
+            else -> CallStage.WAITING
+        }
+
+    private fun report(
+        call: InboundCall,
+        stage: CallStage,
+        cause: CloseCause = closeCause ?: CloseCause.PEER_CLOSED,
+        error: Throwable? = closeError,
+    ) {
+        if (!isReported) observer.onUnanswered(call, stage, cause, error)
+    }
+
+    private fun reportPending() {
+        head?.let { reportReleased(it, CallStage.INCOMPLETE) }
+        pendingMessages.forEach { if (it is HttpRequest) reportReleased(it, CallStage.QUEUED) }
+    }
+
+    private fun reportReleased(
+        request: HttpRequest,
+        stage: CallStage,
+    ) {
+        if (!isReported) observer.onRequestReleased(request.headers(), stage, closeCause ?: CloseCause.PEER_CLOSED)
     }
 
     private fun statusOf(cause: Throwable): HttpResponseStatus =
--- a/node/src/main/kotlin/dev/lycheehill/node/http/ConnectionSet.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/ConnectionSet.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.node.http
 
+import io.netty.util.concurrent.Future
 import java.util.concurrent.ConcurrentHashMap
 
 /** Open caller connections of one listening socket. Thread-safe. */
@@ -28,6 +29,15 @@
         openConnections.forEach { it.closeWhenIdle() }
     }
 
+    /** Returns the unfinished work of all connections. */
+    fun openWork(): OpenWork {
+        val open = openConnections.toList()
+        return OpenWork(open.size, open.sumOf { it.openCallCount }, open.sumOf { it.unsentBytes })
+    }
+
+    /** Reports the calls without a complete response because the node ends. Returns one future for each connection that has any. */
+    fun reportUnanswered(): List<Future<*>> = openConnections.filter { it.hasOpenWork }.map { it.reportUnanswered() }
+
     /** Closes all connections immediately. */
     fun closeNow() {
         openConnections.forEach { it.closeNow() }
--- a/node/src/main/kotlin/dev/lycheehill/node/http/InboundCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/InboundCall.kt
@@ -37,6 +37,9 @@
     val headers: HttpHeaders = head.headers()
     var listener: InboundCallListener? = null
 
+    /** Time at which the request was complete, a value of [System.nanoTime]. */
+    val receivedNanos: Long = System.nanoTime()
+
     private val isHttp10 = head.protocolVersion() == HttpVersion.HTTP_1_0
     private val keepAlive = HttpUtil.isKeepAlive(head)
     private var state = State.OPEN
@@ -54,6 +57,10 @@
     /** Whether the complete response was written or held back, or the call was aborted. */
     val isDone: Boolean get() = state == State.DONE
 
+    /** Whether the response was ended before it was complete. */
+    var isAborted = false
+        private set
+
     /** Whether the connection is closed after this call. */
     val closesConnection: Boolean get() = shouldClose
 
@@ -131,6 +138,10 @@
     /** Closes the caller's connection, so that a partial response cannot be mistaken for a complete one. */
     fun abort() {
         shouldClose = true
+        if (state != State.DONE) {
+            isAborted = true
+            connection.onCallAborted(this)
+        }
         // In HTTP/1.0, the end of the connection marks the end of the response, so only a reset shows that it is incomplete.
         if (isHttp10) connection.resetOnClose()
         finish()
--- a/node/src/main/kotlin/dev/lycheehill/node/http/InboundCallListener.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/InboundCallListener.kt
@@ -5,6 +5,9 @@
     /** The caller's connection was closed, so nobody waits for the response. */
     fun onCallerDisconnected()
 
+    /** Returns the progress of the call. */
+    fun progress(): CallProgress
+
     /** The caller's connection has become writable after [InboundCall.isWritable] was false. */
     fun onWritable()
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/http/LingeringClose.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/LingeringClose.kt
@@ -12,9 +12,12 @@
  * A socket that is closed with unread input, or that receives input later, sends a TCP reset, which destroys the responses that
  * the caller has not read yet. Therefore only the output is shut down. The input is read, and has to be discarded, until the
  * caller closes the connection, for at most [LINGER_TIMEOUT_MS].
+ *
+ * @param onTimeout called before the connection is closed because the caller has not closed it in time.
  */
 internal class LingeringClose(
     private val ctx: ChannelHandlerContext,
+    private val onTimeout: () -> Unit,
 ) {
     private var timeout: ScheduledFuture<*>? = null
 
@@ -30,10 +33,15 @@
     }
 
     private fun shutdownOutput() {
-        timeout = ctx.executor().schedule({ ctx.close() }, LINGER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        timeout = ctx.executor().schedule(::closeLate, LINGER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
         (ctx.channel() as DuplexChannel).shutdownOutput()
     }
 
+    private fun closeLate() {
+        onTimeout()
+        ctx.close()
+    }
+
     private companion object {
         const val LINGER_TIMEOUT_MS = 5_000L
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -15,6 +15,7 @@
 import dev.lycheehill.node.dialect.BackendResponseKind
 import dev.lycheehill.node.egress.TraceIds
 import dev.lycheehill.node.http.CallHeaders
+import dev.lycheehill.node.http.CallProgress
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.http.InboundCallListener
 import dev.lycheehill.node.http.NodeResponses
@@ -124,6 +125,13 @@
         }
     }
 
+    override fun progress() =
+        CallProgress(
+            isPassedOn = collector?.exchange?.isSent == true,
+            targetIds = listOfNotNull(environment.target.registration()?.instanceId),
+            leftMs = deadline.remainingMs(System.nanoTime()),
+        )
+
     override fun onWritable() {
         if (isStreaming) collector?.resume()
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/logging/NonBlockingAppender.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/logging/NonBlockingAppender.kt
@@ -5,6 +5,7 @@
 import ch.qos.logback.core.Appender
 import ch.qos.logback.core.UnsynchronizedAppenderBase
 import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
@@ -42,12 +43,27 @@
         target.stop()
     }
 
+    /** Waits up to [timeoutMs] until the lines appended so far have been passed to the target. Returns whether they have. */
+    fun flush(timeoutMs: Long): Boolean {
+        val marker = FlushMarker()
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
+        return queue.offer(marker, timeoutMs, TimeUnit.MILLISECONDS) &&
+            marker.reached.await(endNanos - System.nanoTime(), TimeUnit.NANOSECONDS)
+    }
+
     override fun append(event: ILoggingEvent) {
         event.prepareForDeferredProcessing()
         queue.offer(event)
     }
 
-    private fun write() = generateSequence { queue.take().takeIf { it !== endMarker } }.forEach(target::doAppend)
+    private fun write() =
+        generateSequence { queue.take().takeIf { it !== endMarker } }.forEach {
+            if (it is FlushMarker) it.reached.countDown() else target.doAppend(it)
+        }
+
+    private class FlushMarker : LoggingEvent() {
+        val reached = CountDownLatch(1)
+    }
 
     private companion object {
         // Holds several seconds of the decision log at its maximum rate, in addition to the other log lines.
--- a/node/src/main/kotlin/dev/lycheehill/node/logging/StructuredLogs.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/logging/StructuredLogs.kt
@@ -6,6 +6,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.ConsoleAppender
 import org.slf4j.Logger
+import org.slf4j.LoggerFactory
 
 /**
  * Logback configuration that writes log lines as JSON to standard output.
@@ -35,4 +36,15 @@
         root.addAppender(appender)
         context.getLogger("io.netty").level = Level.WARN
     }
+
+    /** Waits up to [timeoutMs] until the lines logged so far are written. Does nothing if [configure] has not been called. */
+    fun flush(timeoutMs: Long) {
+        val context = LoggerFactory.getILoggerFactory() as? LoggerContext ?: return
+        context
+            .getLogger(Logger.ROOT_LOGGER_NAME)
+            .iteratorForAppenders()
+            .asSequence()
+            .filterIsInstance<NonBlockingAppender>()
+            .forEach { it.flush(timeoutMs) }
+    }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/metrics/NodeMetrics.kt
@@ -45,11 +45,16 @@
     private val patchCounters = PatchResult.entries.map { lazy { counter(NodeMeter.PATCHES, it.label()) } }
     private val controlByteSources = ConcurrentHashMap<ControlDirection, () -> Number>()
     private val backendRequestCounter by lazy { counter(NodeMeter.BACKEND_REQUESTS) }
+    private val unansweredCallCounts = CauseCounts()
+    private val closedConnectionCounts = CauseCounts()
     private val silentConnectionCounter by lazy { counter(NodeMeter.SILENT_CONNECTIONS) }
 
     @Volatile
     private var refusedRecordsSource: () -> Number = { 0 }
 
+    /** Number of calls that ended without a complete response. */
+    val unansweredCalls: Long get() = unansweredCallCounts.total
+
     /** Returns the meters of the route with [name]. */
     fun route(name: String): RouteMetrics = routeMetrics.computeIfAbsent(name, ::newRouteMetrics)
 
@@ -81,6 +86,18 @@
     /** Counts a connection that was closed because it made no progress. */
     fun countSilentConnection() = silentConnectionCounter.increment()
 
+    /** Counts a call of [source] that ended without a complete response. */
+    fun countUnansweredCall(
+        source: CallSource,
+        cause: CloseCause,
+    ) = unansweredCallCounts.increment(source, cause)
+
+    /** Counts a connection of [source] that ended. */
+    fun countClosedConnection(
+        source: CallSource,
+        cause: CloseCause,
+    ) = closedConnectionCounts.increment(source, cause)
+
     /** Counts a request that was sent to the backend server of this node. */
     fun countBackendRequest() = recordings.add { backendRequestCounter.increment() }
 
@@ -148,10 +165,20 @@
         ControlDirection.entries.forEach { direction ->
             functionCounter(registry, NodeMeter.CONTROL_BYTES, direction.label()) { controlByteSources[direction]?.invoke() ?: 0 }
         }
+        registerCauseCounts(registry, NodeMeter.UNANSWERED_CALLS, unansweredCallCounts)
+        registerCauseCounts(registry, NodeMeter.CLOSED_CONNECTIONS, closedConnectionCounts)
         functionCounter(registry, NodeMeter.REFUSED_RECORDS) { refusedRecordsSource() }
         MemberState.entries.forEach { state -> gauge(registry, NodeMeter.MEMBERS, state.label()) { memberSources[state]?.invoke() ?: 0 } }
     }
 
+    private fun registerCauseCounts(
+        registry: PrometheusMeterRegistry,
+        meter: NodeMeter,
+        counts: CauseCounts,
+    ) = CallSource.entries.forEach { source ->
+        CloseCause.entries.forEach { cause -> functionCounter(registry, meter, source.label, cause.label) { counts.of(source, cause) } }
+    }
+
     private fun newRouteMetrics(name: String): RouteMetrics =
         RouteMetrics(
             recordings = recordings,
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
@@ -20,6 +20,7 @@
 import dev.lycheehill.node.peer.PeerLink
 import dev.lycheehill.node.policy.CallPolicies
 import dev.lycheehill.node.policy.SlotPolicies
+import dev.lycheehill.node.stop.StopPhase
 import dev.lycheehill.node.target.BackendProbe
 import dev.lycheehill.node.target.HeartbeatTracker
 import dev.lycheehill.node.target.LocalTarget
@@ -120,27 +121,47 @@
      * its callers, so that they can be routed elsewhere. Then it waits for the calls in flight and tells the other nodes that it
      * has left.
      */
+    @Suppress("TooGenericExceptionCaught")
     fun stop() {
+        try {
+            stopInPhases()
+        } catch (e: Throwable) {
+            node.stopReport.fail(e)
+            runCatching { node.reportUnanswered() }.onFailure(e::addSuppressed)
+            throw e
+        }
+    }
+
+    /** Stops at once and tells no other node, like a killed process. */
+    fun kill() {
+        eventLoop.submit(fleet::stop).sync()
+        peerLink.stop()
+        node.kill()
+    }
+
+    private fun stopInPhases() {
+        val report = node.stopReport
         val startNanos = System.nanoTime()
         isStopping = true
+        report.begin()
         log.info { "stopping; calls in flight: ${target.inFlight}" }
         eventLoop.submit { node.drain() }.sync()
+        report.enter(StopPhase.DRAINING, plannedMs = 0)
         Thread.sleep(settings.drainDelayMs)
         val elapsedMs = (System.nanoTime() - startNanos) / NANOS_PER_MILLI
-        node.closeGracefully(settings.stopTimeoutMs - elapsedMs)
+        val timeoutMs = settings.stopTimeoutMs - elapsedMs
+        report.enter(StopPhase.CLOSING, plannedMs = settings.drainDelayMs, "timeout_ms" to timeoutMs)
+        val isIdle = node.closeGracefully(timeoutMs)
+        report.enter(StopPhase.LEAVING, plannedMs = settings.stopTimeoutMs, "all_answered" to isIdle)
         eventLoop.submit(fleet::leave).sync()
+        val endMs = report.elapsedMs + LAST_WRITE_WAIT_MS
         Thread.sleep(LAST_WRITE_WAIT_MS)
         log.info { "stopped after ${(System.nanoTime() - startNanos) / NANOS_PER_MILLI} ms" }
+        val isReported = node.reportUnanswered()
+        report.enter(StopPhase.ENDED, plannedMs = endMs, "calls_listed" to isReported)
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
-    /** Stops at once and tells no other node, like a killed process. */
-    fun kill() {
-        eventLoop.submit(fleet::stop).sync()
-        peerLink.stop()
-        node.kill()
-    }
-
     private fun selfRecord() =
         MemberRecord(
             nodeId = settings.nodeId,
--- a/node/src/test/kotlin/dev/lycheehill/node/RawClient.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/RawClient.kt
@@ -45,6 +45,9 @@
 
     fun isClosedByPeer(): Boolean = input.read() < 0
 
+    /** Ends the requests without closing the connection. */
+    fun shutdownOutput() = socket.shutdownOutput()
+
     override fun close() = socket.close()
 
     private fun readLength(
--- a/node/src/test/kotlin/dev/lycheehill/node/logging/NonBlockingAppenderTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/logging/NonBlockingAppenderTest.kt
@@ -11,6 +11,8 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -50,6 +52,18 @@
         expectThat(written).containsExactly("first", "line 0", "line 1")
     }
 
+    /** Guards against a process that ends before its last lines are written, and against one that waits for a blocked output. */
+    @Test
+    fun `flush waits for the lines appended so far, up to its timeout`() {
+        val appender = appender(queueLines = 1_000)
+        repeat(500) { appender.doAppend(logEvent("line $it")) }
+        expectThat(appender.flush(timeoutMs = 50)).isFalse()
+        targetGate.countDown()
+        expectThat(appender.flush(timeoutMs = 5_000)).isTrue()
+        expectThat(written).hasSize(500)
+        appender.stop()
+    }
+
     /** Guards against losing the last lines at shutdown, which state why the process ended. */
     @Test
     fun `stop writes the waiting lines`() {
--- a/node/src/test/kotlin/dev/lycheehill/node/metrics/NodeMetricsTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/metrics/NodeMetricsTest.kt
@@ -50,6 +50,18 @@
         expectThat(metrics.scrape()).contains("lycheehill_calls_seconds_count{route=\"orders\",verdict=\"not-run\"} 1\n")
     }
 
+    @Test
+    fun `unanswered calls and closed connections are counted by source and cause`() {
+        metrics.countUnansweredCall(CallSource.CALLERS, CloseCause.NODE_END)
+        repeat(2) { metrics.countClosedConnection(CallSource.NODES, CloseCause.STOP) }
+
+        expectThat(metrics.unansweredCalls) isEqualTo 1
+        expectThat(metrics.scrape()) {
+            contains("lycheehill_unanswered_calls_total{cause=\"node_end\",source=\"callers\"} 1.0\n")
+            contains("lycheehill_closed_connections_total{cause=\"stop\",source=\"nodes\"} 2.0\n")
+        }
+    }
+
     @Test
     fun `retainRoutes removes the meters of other routes`() {
         metrics.route("old")
