Show that a stop discards unread requests of other nodes, too (red)

The row NODE sends on the listener for other nodes. The node that passed the request on sees a closed connection and has to report that the request may have run.

--- a/node/src/test/kotlin/dev/lycheehill/node/LateReadInStopTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/LateReadInStopTest.kt
@@ -12,16 +12,21 @@
 
 /** Tests requests that have arrived before a stop closes their connection, but that the node has not read yet. */
 class LateReadInStopTest {
+    /** Sender of the request: a caller, or another node that passes on a request. */
+    enum class Sender { CALLER, NODE }
+
     /** Guards against requests that a busy node reads only to discard them, because the stop took their connection for idle. */
     @ParameterizedTest
-    @CsvSource("POST, ''", "POST, body", "GET, ''")
+    @CsvSource("CALLER, POST, ''", "CALLER, POST, body", "CALLER, GET, ''", "NODE, POST, ''")
     fun `a request that arrived before its connection was closed gets a response`(
+        sender: Sender,
         method: String,
         body: String,
     ) {
         val group = Transport.NIO.newGroup(1, "test-loop")
         TestMesh(targets = 1, callerGroup = group).use { mesh ->
-            mesh.newClient().use { caller ->
+            val address = if (sender == Sender.CALLER) mesh.callerNode.egressAddress else mesh.callerNode.ingressAddress
+            RawClient(address).use { caller ->
                 caller.call("GET", "/orders", mapOf(BackendHeaders.REQUEST_KEY to "warm"))
                 val stopped =
                     block(group).use {
