Show that a failure while a call is recorded loses its response (red)

Callers wait without an end for the response of a request that has run; when the node stops, their connection is closed.

Cause: EgressCall cancels the timer of the deadline and reports the end of the call to the span, the picker and the log before it sends the response. A failure on the way leaves a call that nothing ends.

--- /dev/null
+++ b/node/src/test/kotlin/dev/lycheehill/node/FailingRecordingTest.kt
@@ -0,0 +1,65 @@
+package dev.lycheehill.node
+
+import dev.lycheehill.core.time.SystemTimerService
+import dev.lycheehill.fleet.membership.MemberRecord
+import dev.lycheehill.fleet.membership.MemberState
+import dev.lycheehill.node.tracing.Hop
+import dev.lycheehill.node.tracing.HopResult
+import dev.lycheehill.node.tracing.HopSpan
+import dev.lycheehill.node.tracing.NoopSpanRecorder
+import dev.lycheehill.node.tracing.SpanRecorder
+import dev.lycheehill.node.view.InMemoryFleetView
+import dev.lycheehill.standins.backend.BackendHeaders
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** Tests calls whose recording fails at their end. */
+class FailingRecordingTest {
+    /** Guards against a response of a request that has run, but that no caller gets because something else fails before it is sent. */
+    @ParameterizedTest
+    @EnumSource(names = ["EGRESS", "ATTEMPT"])
+    fun `a caller gets the response although the span of the call cannot be recorded`(failingHop: Hop) {
+        TestMesh(targets = 1).use { mesh ->
+            SystemTimerService().use { timers ->
+                val node = startNode(mesh, timers, FailingSpans(failingHop))
+                RawClient(node.egressAddress).use { caller ->
+                    val headers = mapOf(BackendHeaders.REQUEST_KEY to "k", "lycheehill-deadline-ms" to "1000")
+                    expectThat(caller.call("POST", "/orders", headers).verdict) isEqualTo "ran"
+                }
+                node.kill()
+            }
+        }
+    }
+
+    private fun startNode(
+        mesh: TestMesh,
+        timers: SystemTimerService,
+        spans: SpanRecorder,
+    ): LycheehillNode {
+        mesh.fleet.put(
+            MemberRecord("n", 1, MemberState.COLD, "lakes-a", "great-lakes", controlAddress = "127.0.0.1:1", dataAddress = "127.0.0.1:1"),
+        )
+        val settings = DataPathSettings(eventLoopCount = 1)
+        return LycheehillNode(settings, InMemoryFleetView(mesh.fleet, "n"), timers, spans = spans).apply { start() }
+    }
+
+    private class FailingSpans(
+        private val failingHop: Hop,
+    ) : SpanRecorder by NoopSpanRecorder {
+        override fun start(
+            hop: Hop,
+            traceparent: String?,
+        ): HopSpan {
+            val span = NoopSpanRecorder.start(hop, traceparent)
+            return if (hop == failingHop) FailingSpan(span) else span
+        }
+    }
+
+    private class FailingSpan(
+        private val span: HopSpan,
+    ) : HopSpan by span {
+        override fun end(result: HopResult): Unit = error("cannot record $result")
+    }
+}
