Let a stop wait for calls in flight as long as the grace period allows

Cause: a stop ended 5.3 s after its begin, whatever `grace` the settings state, and its first steps counted against that time: with a late event loop or stopping thread the listeners closed late, the wait for the calls was short or negative, and the process exited with all calls in flight.

The wait ends early only when the operating system has accepted all responses; callers that keep their connections open afterwards are waited for 2.9 s, as long as before at a grace of 6 s. Listeners are closed before the wait begins, so no connection can be added unseen.

--- a/node/src/main/kotlin/dev/lycheehill/node/HttpListener.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/HttpListener.kt
@@ -45,6 +45,12 @@
     /** Whether the listener has no open connections. */
     val isIdle: Boolean get() = connections.isEmpty
 
+    /** Whether no connection can carry a call or has a part of a response that the operating system has not accepted. */
+    val isDelivered: Boolean get() = connections.isDelivered
+
+    /** Time at which the last responses of a closing connection were accepted by the operating system, a value of [System.nanoTime]. */
+    val lastDeliveryNanos: Long get() = connections.lastDeliveryNanos
+
     /** Unfinished work of the connections. */
     val openWork: OpenWork get() = connections.openWork()
 
@@ -65,10 +71,13 @@
                 .channel()
     }
 
-    /** Stops accepting connections and closes each open connection as soon as it carries no call. */
-    fun closeWhenIdle() {
-        channel.close()
+    /**
+     * Stops accepting connections and closes each open connection as soon as it carries no call. Returns a future that completes when
+     * no connection is accepted any more.
+     */
+    fun closeWhenIdle(): Future<*> {
         connections.closeWhenIdle()
+        return if (::channel.isInitialized) channel.close() else group.next().newSucceededFuture(null)
     }
 
     /** Reports the calls without a complete response because the node ends. Returns one future for each connection that has any. */
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -20,11 +20,10 @@
 import dev.lycheehill.node.egress.EgressHandler
 import dev.lycheehill.node.egress.ServiceTable
 import dev.lycheehill.node.egress.StopDeadline
+import dev.lycheehill.node.http.OpenWork
 import dev.lycheehill.node.ingress.AdmissionTicker
 import dev.lycheehill.node.ingress.IngressEnvironment
 import dev.lycheehill.node.ingress.IngressHandler
-import dev.lycheehill.node.http.ConnectionObserver
-import dev.lycheehill.node.http.OpenWork
 import dev.lycheehill.node.keys.KeyedRequestCoordinator
 import dev.lycheehill.node.logging.DecisionLog
 import dev.lycheehill.node.loop.LoopContexts
@@ -48,6 +47,7 @@
 import dev.lycheehill.node.tracing.SpanRecorder
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.EventLoopGroup
+import io.netty.util.concurrent.Future
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -156,21 +156,45 @@
         stopReport.begin()
         drain()
         stopReport.enter(StopPhase.CLOSING, plannedMs = 0, "timeout_ms" to settings.drainTimeoutMs)
-        val isIdle = closeGracefully(settings.drainTimeoutMs)
+        val isAnswered = closeGracefully(settings.drainTimeoutMs)
         val isReported = reportUnanswered()
-        stopReport.enter(StopPhase.ENDED, settings.drainTimeoutMs, "all_answered" to isIdle, "calls_listed" to isReported)
+        stopReport.enter(StopPhase.ENDED, settings.drainTimeoutMs, "all_answered" to isAnswered, "calls_listed" to isReported)
         kill()
     }
 
     /**
      * Stops accepting connections from callers and other nodes, and waits up to [timeoutMs] for the calls in flight. A request
-     * that is complete only now is refused if its deadline is after this time. Returns whether all calls are complete.
+     * that is complete only now is refused if its deadline is after this time. Returns whether all calls are answered.
      */
     fun closeGracefully(timeoutMs: Long): Boolean {
-        stopDeadline.set(timeoutMs, System.nanoTime())
-        ingressListener.closeWhenIdle()
-        egressListener.closeWhenIdle()
-        return awaitIdle(timeoutMs)
+        val startNanos = System.nanoTime()
+        closeListeners(timeoutMs)
+        return awaitResponses(timeoutMs - (System.nanoTime() - startNanos) / NANOS_PER_MILLI)
+    }
+
+    /**
+     * Stops accepting connections from callers and other nodes, and closes each open connection as soon as it carries no call. Returns
+     * when the event loops have begun to do so, after at most [timeoutMs] milliseconds.
+     *
+     * @param timeoutMs time after which the node ends. A request that is complete only now is refused if its deadline is later.
+     */
+    internal fun closeListeners(timeoutMs: Long) {
+        val startNanos = System.nanoTime()
+        stopDeadline.set(timeoutMs, startNanos)
+        val closed = listOf(ingressListener, egressListener).map { it.closeWhenIdle() }
+        awaitAll(closed, startNanos, timeoutMs)
+        // The last accepted connections are registered by tasks that precede these.
+        awaitAll(group.map { it.submit {} }, startNanos, timeoutMs)
+    }
+
+    /**
+     * Waits up to [timeoutMs] milliseconds until the responses to all calls are sent, and up to [LINGER_WAIT_MS] of it for callers
+     * that have not closed their connections. Returns whether the responses are sent.
+     */
+    internal fun awaitResponses(timeoutMs: Long): Boolean {
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
+        while (System.nanoTime() < endNanos && !isIdle() && !hasLingered()) Thread.sleep(IDLE_POLL_PERIOD_MS)
+        return isDelivered()
     }
 
     /**
@@ -178,12 +202,8 @@
      * report is complete. A call that is answered later is not reported again.
      */
     internal fun reportUnanswered(): Boolean {
-        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REPORT_TIMEOUT_MS)
-        val reports = ingressListener.reportUnanswered() + egressListener.reportUnanswered()
-        return reports.all { report ->
-            val leftMs = (endNanos - System.nanoTime()) / NANOS_PER_MILLI
-            report.await(leftMs.coerceAtLeast(0), TimeUnit.MILLISECONDS)
-        }
+        val startNanos = System.nanoTime()
+        return awaitAll(ingressListener.reportUnanswered() + egressListener.reportUnanswered(), startNanos, REPORT_TIMEOUT_MS)
     }
 
     /** Ends the node immediately and closes all connections. */
@@ -197,14 +217,26 @@
         group.shutdownGracefully(0, KILL_TIMEOUT_MS, TimeUnit.MILLISECONDS).await(KILL_TIMEOUT_MS)
     }
 
-    private fun awaitIdle(timeoutMs: Long): Boolean {
-        val deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
-        while (System.nanoTime() < deadlineNanos && !isIdle()) Thread.sleep(IDLE_POLL_PERIOD_MS)
-        return isIdle()
-    }
+    // Returns whether all tasks are done [timeoutMs] milliseconds after [startNanos].
+    private fun awaitAll(
+        tasks: List<Future<*>>,
+        startNanos: Long,
+        timeoutMs: Long,
+    ): Boolean =
+        tasks.all { task ->
+            val leftMs = timeoutMs - (System.nanoTime() - startNanos) / NANOS_PER_MILLI
+            task.await(leftMs.coerceAtLeast(0), TimeUnit.MILLISECONDS)
+        }
 
     private fun isIdle() = ingressListener.isIdle && egressListener.isIdle
 
+    private fun isDelivered() = ingressListener.isDelivered && egressListener.isDelivered
+
+    private fun hasLingered(): Boolean {
+        val lastDeliveryNanos = maxOf(ingressListener.lastDeliveryNanos, egressListener.lastDeliveryNanos)
+        return isDelivered() && System.nanoTime() - lastDeliveryNanos > TimeUnit.MILLISECONDS.toNanos(LINGER_WAIT_MS)
+    }
+
     private fun openWork(source: CallSource): OpenWork =
         when (source) {
             CallSource.CALLERS -> egressListener.openWork
@@ -271,6 +303,9 @@
         const val KILL_TIMEOUT_MS = 2_000L
         const val IDLE_POLL_PERIOD_MS = 10L
         const val REPORT_TIMEOUT_MS = 100L
+
+        // Callers that keep a connection open and read late are rare, and the node is missing until the process has ended.
+        const val LINGER_WAIT_MS = 2_900L
         const val MILLIS_PER_SECOND = 1_000.0
         val MAX_SERVICE_IDLE_NANOS = TimeUnit.MINUTES.toNanos(10)
     }
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -97,7 +97,7 @@
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
         body = BodyBuffer(ctx.alloc())
-        lingeringClose = LingeringClose(ctx, ::onLingerTimeout)
+        lingeringClose = LingeringClose(ctx, { connections.onDelivered(this) }, ::onLingerTimeout)
         connections.add(this)
     }
 
--- a/node/src/main/kotlin/dev/lycheehill/node/http/ConnectionSet.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/ConnectionSet.kt
@@ -6,21 +6,39 @@
 /** Open caller connections of one listening socket. Thread-safe. */
 internal class ConnectionSet {
     private val openConnections: MutableSet<CallerConnection> = ConcurrentHashMap.newKeySet()
+    private val lingeringConnections: MutableSet<CallerConnection> = ConcurrentHashMap.newKeySet()
 
     @Volatile
     private var isDraining = false
 
-    val size: Int get() = openConnections.size
+    val size: Int get() = openConnections.size + lingeringConnections.size
 
-    val isEmpty: Boolean get() = openConnections.isEmpty()
+    /** Whether no connection can carry a call or has a part of a response that the operating system has not accepted. */
+    val isDelivered: Boolean get() = openConnections.isEmpty()
+
+    /** Time at which the latest connection was delivered, a value of [System.nanoTime]. */
+    @Volatile
+    var lastDeliveryNanos = System.nanoTime()
+        private set
+
+    val isEmpty: Boolean get() = openConnections.isEmpty() && lingeringConnections.isEmpty()
 
     fun add(connection: CallerConnection) {
         openConnections.add(connection)
         if (isDraining) connection.closeWhenIdle()
     }
 
+    /** The operating system has accepted all responses of [connection], which only waits for its caller to close it. */
+    fun onDelivered(connection: CallerConnection) {
+        lastDeliveryNanos = System.nanoTime()
+        // Added first, so that the set never looks empty in between.
+        lingeringConnections.add(connection)
+        openConnections.remove(connection)
+    }
+
     fun remove(connection: CallerConnection) {
         openConnections.remove(connection)
+        lingeringConnections.remove(connection)
     }
 
     /** Closes each connection, and each one added later, as soon as it carries no call. */
@@ -32,7 +50,7 @@
     /** Returns the unfinished work of all connections. */
     fun openWork(): OpenWork {
         val open = openConnections.toList()
-        return OpenWork(open.size, open.sumOf { it.openCallCount }, open.sumOf { it.unsentBytes })
+        return OpenWork(open.size + lingeringConnections.size, open.sumOf { it.openCallCount }, open.sumOf { it.unsentBytes })
     }
 
     /** Reports the calls without a complete response because the node ends. Returns one future for each connection that has any. */
@@ -41,5 +59,6 @@
     /** Closes all connections immediately. */
     fun closeNow() {
         openConnections.forEach { it.closeNow() }
+        lingeringConnections.forEach { it.closeNow() }
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/http/LingeringClose.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/LingeringClose.kt
@@ -13,10 +13,12 @@
  * the caller has not read yet. Therefore only the output is shut down. The input is read, and has to be discarded, until the
  * caller closes the connection, for at most [LINGER_TIMEOUT_MS].
  *
+ * @param onDelivered called when the operating system has accepted all responses.
  * @param onTimeout called before the connection is closed because the caller has not closed it in time.
  */
 internal class LingeringClose(
     private val ctx: ChannelHandlerContext,
+    private val onDelivered: () -> Unit,
     private val onTimeout: () -> Unit,
 ) {
     private var timeout: ScheduledFuture<*>? = null
@@ -35,6 +37,7 @@
     private fun shutdownOutput() {
         timeout = ctx.executor().schedule(::closeLate, LINGER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
         (ctx.channel() as DuplexChannel).shutdownOutput()
+        onDelivered()
     }
 
     private fun closeLate() {
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
@@ -1,6 +1,5 @@
 package dev.lycheehill.node.program
 
-import dev.lycheehill.core.time.NANOS_PER_MILLI
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.fleet.store.ConfigurationDecoder
@@ -20,7 +19,9 @@
 import dev.lycheehill.node.peer.PeerLink
 import dev.lycheehill.node.policy.CallPolicies
 import dev.lycheehill.node.policy.SlotPolicies
-import dev.lycheehill.node.stop.StopPhase
+import dev.lycheehill.node.stop.GracefulStop
+import dev.lycheehill.node.stop.StopSchedule
+import dev.lycheehill.node.stop.StoppableNode
 import dev.lycheehill.node.target.BackendProbe
 import dev.lycheehill.node.target.HeartbeatTracker
 import dev.lycheehill.node.target.LocalTarget
@@ -28,6 +29,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
+import io.netty.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
 /**
@@ -89,6 +91,19 @@
             address = settings.backend.toString(),
         )
 
+    private val stoppable =
+        object : StoppableNode {
+            override fun drain(): Future<*> = eventLoop.submit { node.drain() }
+
+            override fun closeListeners(timeoutMs: Long) = node.closeListeners(timeoutMs)
+
+            override fun awaitResponses(timeoutMs: Long): Boolean = node.awaitResponses(timeoutMs)
+
+            override fun leave(): Future<*> = eventLoop.submit(fleet::leave)
+
+            override fun reportUnanswered(): Boolean = node.reportUnanswered()
+        }
+
     @Volatile
     private var isStopping = false
 
@@ -121,15 +136,10 @@
      * its callers, so that they can be routed elsewhere. Then it waits for the calls in flight and tells the other nodes that it
      * has left.
      */
-    @Suppress("TooGenericExceptionCaught")
     fun stop() {
-        try {
-            stopInPhases()
-        } catch (e: Throwable) {
-            node.stopReport.fail(e)
-            runCatching { node.reportUnanswered() }.onFailure(e::addSuppressed)
-            throw e
-        }
+        isStopping = true
+        GracefulStop(stoppable, StopSchedule.within(settings.graceMs), node.stopReport).run()
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
     /** Stops at once and tells no other node, like a killed process. */
@@ -139,29 +149,6 @@
         node.kill()
     }
 
-    private fun stopInPhases() {
-        val report = node.stopReport
-        val startNanos = System.nanoTime()
-        isStopping = true
-        report.begin()
-        log.info { "stopping; calls in flight: ${target.inFlight}" }
-        eventLoop.submit { node.drain() }.sync()
-        report.enter(StopPhase.DRAINING, plannedMs = 0)
-        Thread.sleep(settings.drainDelayMs)
-        val elapsedMs = (System.nanoTime() - startNanos) / NANOS_PER_MILLI
-        val timeoutMs = settings.stopTimeoutMs - elapsedMs
-        report.enter(StopPhase.CLOSING, plannedMs = settings.drainDelayMs, "timeout_ms" to timeoutMs)
-        val isIdle = node.closeGracefully(timeoutMs)
-        report.enter(StopPhase.LEAVING, plannedMs = settings.stopTimeoutMs, "all_answered" to isIdle)
-        eventLoop.submit(fleet::leave).sync()
-        val endMs = report.elapsedMs + LAST_WRITE_WAIT_MS
-        Thread.sleep(LAST_WRITE_WAIT_MS)
-        log.info { "stopped after ${(System.nanoTime() - startNanos) / NANOS_PER_MILLI} ms" }
-        val isReported = node.reportUnanswered()
-        report.enter(StopPhase.ENDED, plannedMs = endMs, "calls_listed" to isReported)
-        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
-    }
-
     private fun selfRecord() =
         MemberRecord(
             nodeId = settings.nodeId,
@@ -247,8 +234,5 @@
 
         // The first calls of a process use most of its processor time for about two seconds, so metrics are deferred until later.
         const val METRICS_DELAY_MS = 3_000L
-
-        // Covers the last write to the store, which takes a few milliseconds.
-        const val LAST_WRITE_WAIT_MS = 100L
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNodeSettings.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNodeSettings.kt
@@ -11,9 +11,7 @@
  * @property ingress address for calls from other nodes.
  * @property peer address for heartbeats and sync requests from other nodes.
  * @property localApi address of the API for the backend server and for operators.
- * @property drainDelayMs time after the start of a stop for which callers are still served. The platform checks once per
- *   second whether the node is ready and removes the node after two negative answers.
- * @property stopTimeoutMs longest duration of a stop. The platform kills the process soon after.
+ * @property graceMs time after the begin of a stop at which the platform kills the process.
  * @property deadlineGraceMs time after the deadline for which the node waits for the response of a backend server that stops
  *   work at the deadline.
  * @property leaseMs time after its last heartbeat for which the backend server counts as alive. Heartbeats may be late by
@@ -31,8 +29,7 @@
     val ingress: HostPort,
     val peer: HostPort,
     val localApi: HostPort,
-    val drainDelayMs: Long = 2_300,
-    val stopTimeoutMs: Long = 5_300,
+    val graceMs: Long = 6_000,
     val deadlineGraceMs: Long = 60,
     val leaseMs: Long = 20_000,
     val connectTimeoutMs: Int = 120,
