Go on with a stop after an error in one of its steps

Seen by callers: all requests in flight at a node ended with a closed connection at the moment of its SIGTERM.

Cause: the steps of a stop ran in the shutdown hook without protection. An exception or error of the first step, such as a class that can no longer be loaded, ended the hook, and the JVM exits when its hooks have ended. LogBackedNode of the product's own program had the same sequence.

Change: StopSteps reports the error of a step and goes on. GracefulStop and its steps are created when the node starts, so a stop needs no class that is not loaded. If it fails nevertheless, the node answers calls until the time of the schedule.

--- a/cli/src/main/kotlin/dev/lycheehill/cli/program/LogBackedNode.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/program/LogBackedNode.kt
@@ -17,8 +17,10 @@
 import dev.lycheehill.node.quarantine.GossipEvidenceChannel
 import dev.lycheehill.node.settings.HostPort
 import dev.lycheehill.node.settings.NodeSettings
+import dev.lycheehill.node.stop.StopSteps
 import dev.lycheehill.node.tracing.OtelSpanRecorder
 import dev.lycheehill.platformlog.PlatformLog
+import io.github.oshai.kotlinlogging.KotlinLogging
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.nio.file.Path
@@ -95,11 +97,12 @@
 
     /** Stops the node gracefully: drains the target, waits for the calls in flight and leaves the fleet. Blocks. */
     fun stop() {
-        node.drain()
-        keys.awaitRelease(KEY_RELEASE_MS)
-        node.stop()
-        agent.leave().join()
-        close()
+        val steps = StopSteps { logger.error(it) { "a step of the stop failed" } }
+        steps.run { node.drain() }
+        steps.run { keys.awaitRelease(KEY_RELEASE_MS) }
+        steps.run { node.stop() }
+        steps.run { agent.leave().join() }
+        steps.run { close() }
     }
 
     /** Stops the node abruptly, as killing its process does. */
@@ -144,6 +147,8 @@
         )
 
     private companion object {
+        val logger = KotlinLogging.logger {}
+
         // A new epoch takes about 1 s while the log responds. Without the log, the keys stay assigned to this node's member record.
         const val KEY_RELEASE_MS = 5_000L
 
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -39,6 +39,7 @@
 import dev.lycheehill.node.routing.Router
 import dev.lycheehill.node.stop.StopPhase
 import dev.lycheehill.node.stop.StopReport
+import dev.lycheehill.node.stop.StopSteps
 import dev.lycheehill.node.stop.UnansweredCallReporter
 import dev.lycheehill.node.target.BackendStatements
 import dev.lycheehill.node.target.LocalTarget
@@ -153,12 +154,13 @@
 
     /** Drains the node, waits up to [DataPathSettings.drainTimeoutMs] for the calls in flight, and ends the node. */
     fun stop() {
-        stopReport.begin()
-        drain()
-        stopReport.enter(StopPhase.CLOSING, plannedMs = 0, "timeout_ms" to settings.drainTimeoutMs)
-        val isAnswered = closeGracefully(settings.drainTimeoutMs)
-        val isReported = reportUnanswered()
-        stopReport.enter(StopPhase.ENDED, settings.drainTimeoutMs, "all_answered" to isAnswered, "calls_listed" to isReported)
+        val steps = StopSteps(stopReport::fail)
+        steps.run { stopReport.begin() }
+        steps.run { drain() }
+        steps.run { stopReport.enter(StopPhase.CLOSING, plannedMs = 0, "timeout_ms" to settings.drainTimeoutMs) }
+        val isAnswered = steps.run { closeGracefully(settings.drainTimeoutMs) } ?: false
+        val isReported = steps.run { reportUnanswered() } ?: false
+        steps.run { stopReport.enter(StopPhase.ENDED, settings.drainTimeoutMs, "all_answered" to isAnswered, "calls_listed" to isReported) }
         kill()
     }
 
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.node.program
 
+import dev.lycheehill.core.time.NANOS_PER_MILLI
 import dev.lycheehill.fleet.membership.MemberRecord
 import dev.lycheehill.fleet.membership.MemberState
 import dev.lycheehill.fleet.store.ConfigurationDecoder
@@ -104,6 +105,11 @@
             override fun reportUnanswered(): Boolean = node.reportUnanswered()
         }
 
+    private val schedule = StopSchedule.within(settings.graceMs)
+
+    // Created at the start, so that a stop needs no further classes: the files of the program may be replaced while it runs.
+    private val gracefulStop = GracefulStop(stoppable, schedule, node.stopReport)
+
     @Volatile
     private var isStopping = false
 
@@ -136,9 +142,17 @@
      * its callers, so that they can be routed elsewhere. Then it waits for the calls in flight and tells the other nodes that it
      * has left.
      */
+    @Suppress("TooGenericExceptionCaught")
     fun stop() {
+        val startNanos = System.nanoTime()
         isStopping = true
-        GracefulStop(stoppable, StopSchedule.within(settings.graceMs), node.stopReport).run()
+        try {
+            gracefulStop.run()
+        } catch (e: Throwable) {
+            // The node goes on answering calls. No other class is used, because it may be that no class can be loaded any more.
+            e.printStackTrace()
+            Thread.sleep((schedule.timeoutMs - (System.nanoTime() - startNanos) / NANOS_PER_MILLI).coerceAtLeast(0))
+        }
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
