Read what has arrived on an idle connection before a stop closes it

Seen by callers: a request on a kept connection was answered by the end of the connection, up to seconds after it had been sent.

Cause: a stop closes the connections that carry no call, as far as the node has read. On a late event loop the request was still unread; LingeringClose then read and discarded it.

Change: an idle connection is closed 0.1 s after the stop has reached it. Timers of an event loop run after its input, so a request that had arrived is read and answered, with `Connection: close`.

A request that arrives after the close is still discarded.

--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -27,6 +27,7 @@
 import io.netty.util.concurrent.Future
 import java.net.InetSocketAddress
 import java.nio.channels.ClosedChannelException
+import java.util.concurrent.TimeUnit
 
 /**
  * Connection of a caller. Receives complete requests, passes each to the handler and writes the responses in request order.
@@ -191,12 +192,16 @@
         processPending()
     }
 
-    /** Closes the connection if it carries no call, otherwise after the response to the last call received. */
+    /**
+     * Closes the connection after the response to the last call received, or to the next one if it carries none. Without a further
+     * request, it is closed after [IDLE_CLOSE_DELAY_MS].
+     */
     fun closeWhenIdle() {
         ctx.executor().execute {
             isDraining = true
             calls.lastOrNull()?.closeAfterResponse()
-            if (isIdle) closeAfterResponses(CloseCause.STOP)
+            // A request may have arrived that the event loop has not read yet. Timers run after the input has been read.
+            ctx.executor().schedule({ if (isIdle) closeAfterResponses(CloseCause.STOP) }, IDLE_CLOSE_DELAY_MS, TimeUnit.MILLISECONDS)
         }
     }
 
@@ -458,6 +463,9 @@
         // Limit of the calls that one connection handles at a time.
         const val MAX_CONCURRENT_CALLS = 32
 
+        // Time to read what has arrived before the close. The response to a request that arrives in this time announces the close.
+        const val IDLE_CLOSE_DELAY_MS = 100L
+
         val CONTINUE =
             DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
     }
