Answer calls in progress after errors in their handling

Found by reading each path that ends a connection.

Cause: three kinds of failure lost the responses to requests that had been forwarded. An error other than an exception in a handler left the connection in a state in which no further message was processed; any exception on a caller's connection closed it at once, without a log line; and an exception while the end of a call was recorded kept its response from being sent, after the timer of its deadline had been cancelled.

Change: errors of handlers are answered with 500 like exceptions. Only a failure of the connection itself closes it at once; after any other one, the calls in progress are answered and no further request is decoded. A response is sent even if recording fails.

CallerConnectionExceptionTest passes the new parameter of the connection.

--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -148,9 +148,10 @@
         response: CollectedResponse,
     ) {
         cancelAttemptsExcept(null)
-        finish(Verdict.RAN, response.status, null)
-        attempt.end(response.status.toAttemptOutcome(), response.headers)
-        responder.sendBackendResponse(response)
+        respondAfter({
+            finish(Verdict.RAN, response.status, null)
+            attempt.end(response.status.toAttemptOutcome(), response.headers)
+        }) { responder.sendBackendResponse(response) }
     }
 
     // The caller receives the latest server error unless a later attempt succeeds.
@@ -376,13 +377,21 @@
     ) {
         val kept = responder.takeKeptResponse()
         if (kept != null) {
-            finish(Verdict.RAN, kept.status, failure.reason)
-            responder.sendBackendResponse(kept)
+            respondAfter({ finish(Verdict.RAN, kept.status, failure.reason) }) { responder.sendBackendResponse(kept) }
             return
         }
         val verdict = if (mayHaveRun) Verdict.MAY_HAVE_RUN else failure.verdict
-        finish(verdict, failure.status, failure.reason)
-        responder.sendFailure(failure, verdict, retryAfterMs)
+        respondAfter({ finish(verdict, failure.status, failure.reason) }) { responder.sendFailure(failure, verdict, retryAfterMs) }
+    }
+
+    // The caller gets its response even if the end of the call cannot be recorded.
+    private inline fun respondAfter(
+        record: () -> Unit,
+        respond: () -> Unit,
+    ) = try {
+        record()
+    } finally {
+        respond()
     }
 
     private fun finish(
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.Future
+import java.io.IOException
 import java.net.InetSocketAddress
 import java.nio.channels.ClosedChannelException
 import java.util.concurrent.TimeUnit
@@ -146,13 +147,19 @@
         }
     }
 
-    // Connection resets by callers are common and not logged. Closing the connection notifies the calls in progress.
+    // Connection resets by callers are common and not logged. Closing the connection notifies the calls in progress. After any other
+    // exception, the calls in progress are answered, but no further request is decoded.
     override fun exceptionCaught(
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
         if (isErrorOfConnection(cause)) setCloseCause(CloseCause.CONNECTION_ERROR, cause)
-        ctx.close()
+        if (cause is IOException || calls.isEmpty()) {
+            ctx.close()
+            return
+        }
+        log.error(cause) { "closing a caller's connection after the calls in progress" }
+        calls.last().closeAfterResponse()
     }
 
     /** Writes a part of the response to the first call. The next flush sends the part. */
@@ -233,8 +240,11 @@
     private fun processPending() {
         if (isProcessing) return
         isProcessing = true
-        while (canProcess()) process(pendingMessages.removeFirstOrNull() ?: break)
-        isProcessing = false
+        try {
+            while (canProcess()) process(pendingMessages.removeFirstOrNull() ?: break)
+        } finally {
+            isProcessing = false
+        }
         if (pendingMessages.isEmpty() && !isClosing) ctx.channel().config().isAutoRead = true
     }
 
@@ -331,13 +341,13 @@
         deferredCall = null
     }
 
-    // An exception in the handler must not leave the caller without a response. The verdict is "may have run", because the handler
+    // An error in the handler must not leave the caller without a response. The verdict is "may have run", because the handler
     // may have sent the request already.
     @Suppress("TooGenericExceptionCaught")
     private fun serve(call: InboundCall) {
         try {
             handler.handle(call)
-        } catch (e: RuntimeException) {
+        } catch (e: Throwable) {
             log.error(e) { "call handler failed; responding with status 500" }
             NodeResponses.sendFailure(call, HttpResponseStatus.INTERNAL_SERVER_ERROR, Verdict.MAY_HAVE_RUN, "internal-error")
         }
--- a/node/src/test/kotlin/dev/lycheehill/node/http/CallerConnectionExceptionTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/http/CallerConnectionExceptionTest.kt
@@ -22,7 +22,7 @@
             timeouts,
             StrictRequestDecoder(DataPathSettings()),
             HttpResponseEncoder(),
-            CallerConnection(DataPathSettings(), timeouts, ConnectionSet(), calls::add, NodeMetrics()),
+            CallerConnection(DataPathSettings(), timeouts, ConnectionSet(), calls::add, NodeMetrics(), ConnectionObserver.None),
         )
 
     /** Guards against responses that are lost because a failure of the node, such as a lack of memory, closes the caller's connection. */
