--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -20,11 +20,10 @@
 import dev.lycheehill.node.egress.EgressHandler
 import dev.lycheehill.node.egress.ServiceTable
 import dev.lycheehill.node.egress.StopDeadline
+import dev.lycheehill.node.http.OpenWork
 import dev.lycheehill.node.ingress.AdmissionTicker
 import dev.lycheehill.node.ingress.IngressEnvironment
 import dev.lycheehill.node.ingress.IngressHandler
-import dev.lycheehill.node.http.ConnectionObserver
-import dev.lycheehill.node.http.OpenWork
 import dev.lycheehill.node.keys.KeyedRequestCoordinator
 import dev.lycheehill.node.logging.DecisionLog
 import dev.lycheehill.node.loop.LoopContexts
--- a/node/src/test/kotlin/dev/lycheehill/node/http/ConnectionEndTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/http/ConnectionEndTest.kt
@@ -158,7 +158,9 @@
         private const val SETTLE_MS = 100L
 
         @JvmStatic
-        fun cases() =
+        fun cases() = endsByPeer() + endsByResponse() + endsByNode()
+
+        private fun endsByPeer() =
             listOf(
                 Case("the peer closes", "/passed-on passed_on peer_closed", "connection peer_closed") {
                     send("/passed-on")
@@ -194,6 +196,10 @@
                     Thread.sleep(SETTLE_MS)
                     client.close()
                 },
+            )
+
+        private fun endsByResponse() =
+            listOf(
                 Case(
                     "a streamed response is aborted",
                     "/passed-on streaming aborted_response",
@@ -237,6 +243,10 @@
                     onLoop { check(listener.openWork.calls == 0) }
                     client.shutdownOutput()
                 },
+            )
+
+        private fun endsByNode() =
+            listOf(
                 Case("the node ends", "/passed-on passed_on node_end", "connection node_end") {
                     send("/passed-on")
                     awaitCalls(1)
