--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -157,13 +157,13 @@
         stopReport.enter(StopPhase.CLOSING, plannedMs = 0, "timeout_ms" to settings.drainTimeoutMs)
         val isIdle = closeGracefully(settings.drainTimeoutMs)
         val isReported = reportUnanswered()
-        stopReport.enter(StopPhase.ENDED, settings.drainTimeoutMs, "all_answered" to isIdle, "calls_listed" to isReported)
+        stopReport.enter(StopPhase.ENDED, settings.drainTimeoutMs, "all_closed" to isIdle, "calls_listed" to isReported)
         kill()
     }
 
     /**
      * Stops accepting connections from callers and other nodes, and waits up to [timeoutMs] for the calls in flight. A request
-     * that is complete only now is refused if its deadline is after this time. Returns whether all calls are complete.
+     * that is complete only now is refused if its deadline is after this time. Returns whether all connections are closed.
      */
     fun closeGracefully(timeoutMs: Long): Boolean {
         stopDeadline.set(timeoutMs, System.nanoTime())
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
@@ -152,7 +152,7 @@
         val timeoutMs = settings.stopTimeoutMs - elapsedMs
         report.enter(StopPhase.CLOSING, plannedMs = settings.drainDelayMs, "timeout_ms" to timeoutMs)
         val isIdle = node.closeGracefully(timeoutMs)
-        report.enter(StopPhase.LEAVING, plannedMs = settings.stopTimeoutMs, "all_answered" to isIdle)
+        report.enter(StopPhase.LEAVING, plannedMs = settings.stopTimeoutMs, "all_closed" to isIdle)
         eventLoop.submit(fleet::leave).sync()
         val endMs = report.elapsedMs + LAST_WRITE_WAIT_MS
         Thread.sleep(LAST_WRITE_WAIT_MS)
--- a/node/src/test/kotlin/dev/lycheehill/node/stop/StopReportTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/stop/StopReportTest.kt
@@ -42,7 +42,7 @@
         report.enter(StopPhase.CLOSING, plannedMs = 2_300, "timeout_ms" to 2_900L)
         openWork[CallSource.CALLERS] = OpenWork(connections = 0, calls = 0, unsentBytes = 0)
         nowMs += 100
-        report.enter(StopPhase.LEAVING, plannedMs = 5_300, "all_answered" to true)
+        report.enter(StopPhase.LEAVING, plannedMs = 5_300, "all_closed" to true)
         expectThat(report.isStopping).isTrue()
         expectThat(recorded.lines("stop-phase").map { it.values.joinToString(" ") }).containsExactly(
             "begun 0 5 3 70 2 1 0 0",
