--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -154,12 +154,8 @@
         cause: Throwable,
     ) {
         if (isErrorOfConnection(cause)) setCloseCause(CloseCause.CONNECTION_ERROR, cause)
-        if (cause is IOException || calls.isEmpty()) {
-            ctx.close()
-            return
-        }
-        log.error(cause) { "closing a caller's connection after the calls in progress" }
-        calls.last().closeAfterResponse()
+        if (cause !is IOException) log.error(cause) { "closing a caller's connection after its calls in progress: ${calls.size}" }
+        if (cause is IOException || calls.isEmpty()) ctx.close() else calls.last().closeAfterResponse()
     }
 
     /** Writes a part of the response to the first call. The next flush sends the part. */
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
@@ -150,8 +150,8 @@
             gracefulStop.run()
         } catch (e: Throwable) {
             // The node goes on answering calls. No other class is used, because it may be that no class can be loaded any more.
-            e.printStackTrace()
             Thread.sleep((schedule.timeoutMs - (System.nanoTime() - startNanos) / NANOS_PER_MILLI).coerceAtLeast(0))
+            throw e
         }
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
