Keep requests and responses whole after an error on a caller's connection

Change: after an error in processing input, the calls in progress are answered and nothing more is read; after a failed write the connection is closed at once, as before. An error of the observer does not keep a connection from ending its calls. The node beside the backend server, too, sends a response whose recording fails. The stop of the product's own program does not wait without limit for its leave.

--- a/cli/src/main/kotlin/dev/lycheehill/cli/program/LogBackedNode.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/program/LogBackedNode.kt
@@ -25,6 +25,7 @@
 import java.net.ServerSocket
 import java.nio.file.Path
 import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
 import dev.lycheehill.fleet.link.TlsSettings as LinkTlsSettings
 
 /**
@@ -101,7 +102,7 @@
         steps.run { node.drain() }
         steps.run { keys.awaitRelease(KEY_RELEASE_MS) }
         steps.run { node.stop() }
-        steps.run { agent.leave().join() }
+        steps.run { agent.leave().get(LEAVE_TIMEOUT_MS, TimeUnit.MILLISECONDS) }
         steps.run { close() }
     }
 
@@ -151,6 +152,7 @@
 
         // A new epoch takes about 1 s while the log responds. Without the log, the keys stay assigned to this node's member record.
         const val KEY_RELEASE_MS = 5_000L
+        const val LEAVE_TIMEOUT_MS = 5_000L
 
         // The member record contains the ingress port before the node binds it, so the port must be known in advance.
         fun freePort(host: String): Int = ServerSocket(0, 1, InetAddress.getByName(host)).use { it.localPort }
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -12,6 +12,7 @@
 import dev.lycheehill.node.http.CallProgress
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.http.InboundCallListener
+import dev.lycheehill.node.http.respondAfter
 import dev.lycheehill.node.loop.LoopContext
 import dev.lycheehill.node.relay.CollectedResponse
 import dev.lycheehill.node.routing.RouteDecision
@@ -384,16 +385,6 @@
         respondAfter({ finish(verdict, failure.status, failure.reason) }) { responder.sendFailure(failure, verdict, retryAfterMs) }
     }
 
-    // The caller gets its response even if the end of the call cannot be recorded.
-    private inline fun respondAfter(
-        record: () -> Unit,
-        respond: () -> Unit,
-    ) = try {
-        record()
-    } finally {
-        respond()
-    }
-
     private fun finish(
         verdict: Verdict,
         status: HttpResponseStatus?,
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -57,6 +57,7 @@
     private var isClosing = false
     private var isDraining = false
     private var isProcessing = false
+    private var isWriting = false
 
     @Volatile
     private var closeCause: CloseCause? = null
@@ -147,21 +148,18 @@
         }
     }
 
-    // Connection resets by callers are common and not logged. Closing the connection notifies the calls in progress. After any other
-    // exception, the calls in progress are answered, but no further request is decoded.
+    // Connection resets by callers are common and not logged. Closing the connection notifies the calls in progress. After a failed
+    // write, a response may be incomplete, so no other one may follow.
     override fun exceptionCaught(
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
         if (isErrorOfConnection(cause)) setCloseCause(CloseCause.CONNECTION_ERROR, cause)
-        if (cause !is IOException) log.error(cause) { "closing a caller's connection after its calls in progress: ${calls.size}" }
-        if (cause is IOException || calls.isEmpty()) ctx.close() else calls.last().closeAfterResponse()
+        if (cause is IOException || isWriting) ctx.close() else stopReceiving(cause)
     }
 
     /** Writes a part of the response to the first call. The next flush sends the part. */
-    fun write(message: HttpObject) {
-        ctx.write(message, ctx.voidPromise())
-    }
+    fun write(message: HttpObject) = writing { ctx.write(message, ctx.voidPromise()) }
 
     /** Sends the parts written so far. */
     fun flush() {
@@ -169,9 +167,7 @@
     }
 
     /** Writes a part of the response to the first call and sends it. */
-    fun writeAndFlush(message: HttpObject) {
-        ctx.writeAndFlush(message, ctx.voidPromise())
-    }
+    fun writeAndFlush(message: HttpObject) = writing { ctx.writeAndFlush(message, ctx.voidPromise()) }
 
     /**
      * Called when the response to [call] is complete. If [call] is the first one, the responses to the calls behind it follow,
@@ -233,17 +229,33 @@
         ctx.close()
     }
 
+    @Suppress("TooGenericExceptionCaught")
     private fun processPending() {
         if (isProcessing) return
         isProcessing = true
         try {
             while (canProcess()) process(pendingMessages.removeFirstOrNull() ?: break)
-        } finally {
-            isProcessing = false
+        } catch (e: Throwable) {
+            stopReceiving(e)
         }
+        isProcessing = false
         if (pendingMessages.isEmpty() && !isClosing) ctx.channel().config().isAutoRead = true
     }
 
+    // A failed write is reported to exceptionCaught before the write returns.
+    private inline fun writing(write: () -> Unit) {
+        isWriting = true
+        write()
+        isWriting = false
+    }
+
+    // Answers the calls in progress and processes no further message, because parts of the next request may be missing.
+    private fun stopReceiving(cause: Throwable) {
+        log.error(cause) { "closing a caller's connection after its calls in progress: ${calls.size}" }
+        releasePending()
+        calls.lastOrNull()?.closeAfterResponse() ?: closeAfterResponses(CloseCause.CONNECTION_ERROR)
+    }
+
     // A request behind one that closes the connection is not processed, so the caller can safely send the request again.
     private fun canProcess() =
         !isClosing &&
@@ -313,9 +325,10 @@
         timeouts.onBodyReceived()
         val call = InboundCall(this, request, body.take(), ctx.channel().eventLoop(), ctx.channel().remoteAddress() as? InetSocketAddress)
         if (isDraining) call.closeAfterResponse()
+        val isConcurrent = calls.isEmpty() || (calls + call).all(handler::mayRunConcurrently)
         calls.addLast(call)
         openCallCount = calls.size
-        if (calls.size == 1 || calls.all(handler::mayRunConcurrently)) serve(call) else deferredCall = call
+        if (isConcurrent) serve(call) else deferredCall = call
     }
 
     private fun handleDeferredCall() {
@@ -344,8 +357,8 @@
         try {
             handler.handle(call)
         } catch (e: Throwable) {
-            log.error(e) { "call handler failed; responding with status 500" }
             NodeResponses.sendFailure(call, HttpResponseStatus.INTERNAL_SERVER_ERROR, Verdict.MAY_HAVE_RUN, "internal-error")
+            log.error(e) { "call handler failed; responded with status 500" }
         }
     }
 
@@ -438,7 +451,7 @@
         cause: CloseCause = closeCause ?: CloseCause.PEER_CLOSED,
         error: Throwable? = closeError,
     ) {
-        if (!isReported) observer.onUnanswered(call, stage, cause, error)
+        notifyObserver { onUnanswered(call, stage, cause, error) }
     }
 
     private fun reportPending() {
@@ -450,7 +463,13 @@
         request: HttpRequest,
         stage: CallStage,
     ) {
-        if (!isReported) observer.onRequestReleased(request.headers(), stage, closeCause ?: CloseCause.PEER_CLOSED)
+        notifyObserver { onRequestReleased(request.headers(), stage, closeCause ?: CloseCause.PEER_CLOSED) }
+    }
+
+    // An error of the observer must not keep the connection from ending its calls.
+    private inline fun notifyObserver(notification: ConnectionObserver.() -> Unit) {
+        if (isReported) return
+        runCatching { observer.notification() }.onFailure { log.error(it) { "the end of a call could not be reported" } }
     }
 
     private fun statusOf(cause: Throwable): HttpResponseStatus =
--- a/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/ingress/IngressCall.kt
@@ -19,6 +19,7 @@
 import dev.lycheehill.node.http.InboundCall
 import dev.lycheehill.node.http.InboundCallListener
 import dev.lycheehill.node.http.NodeResponses
+import dev.lycheehill.node.http.respondAfter
 import dev.lycheehill.node.keys.StoredResponse
 import dev.lycheehill.node.loop.LoopContext
 import dev.lycheehill.node.metrics.KeyedAnswer
@@ -143,9 +144,10 @@
             return
         }
         val responseHeaders = headers.peerResponseHeaders(response.headers, finishExecution(Verdict.RAN, response))
-        endSpan(Verdict.RAN, response.status, null)
-        if (environment.crashReporter.needsFingerprints) environment.crashReporter.succeeded(fingerprint)
-        call.respond(response.status, responseHeaders, response.body)
+        respondAfter({
+            endSpan(Verdict.RAN, response.status, null)
+            if (environment.crashReporter.needsFingerprints) environment.crashReporter.succeeded(fingerprint)
+        }) { call.respond(response.status, responseHeaders, response.body) }
     }
 
     private fun recordStatement(
@@ -272,8 +274,9 @@
             call.abort()
             return
         }
-        endSpan(verdict, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline")
-        NodeResponses.sendFailure(call, HttpResponseStatus.GATEWAY_TIMEOUT, verdict, "deadline")
+        respondAfter({ endSpan(verdict, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline") }) {
+            NodeResponses.sendFailure(call, HttpResponseStatus.GATEWAY_TIMEOUT, verdict, "deadline")
+        }
     }
 
     // A closed connection alone does not prove a crash: the backend server has crashed only if it accepts no new connection either.
@@ -319,8 +322,9 @@
         environment.metrics.countKeyedCall(KeyedAnswer.STORED)
         environment.admission.onFinish(admissionCall, nowNanos, succeeded = false)
         val status = HttpResponseStatus.valueOf(stored.status)
-        endSpan(Verdict.RAN, status, KeyRefusal.REPEATED.headerValue)
-        call.respond(status, headers.storedResponseHeaders(stored), Unpooled.wrappedBuffer(stored.body))
+        respondAfter({ endSpan(Verdict.RAN, status, KeyRefusal.REPEATED.headerValue) }) {
+            call.respond(status, headers.storedResponseHeaders(stored), Unpooled.wrappedBuffer(stored.body))
+        }
     }
 
     private fun refuse(
@@ -332,8 +336,9 @@
         environment.admission.onFinish(admissionCall, nowNanos, succeeded = false)
         val status = if (refusal.verdict == Verdict.NOT_RUN) HttpResponseStatus.SERVICE_UNAVAILABLE else HttpResponseStatus.CONFLICT
         val reason = refusal.reason.headerValue
-        endSpan(refusal.verdict, status, reason)
-        NodeResponses.sendFailure(call, status, refusal.verdict, reason, retryAfterMs = refusal.retryAfterMs, extra = headers::setLoad)
+        respondAfter({ endSpan(refusal.verdict, status, reason) }) {
+            NodeResponses.sendFailure(call, status, refusal.verdict, reason, retryAfterMs = refusal.retryAfterMs, extra = headers::setLoad)
+        }
     }
 
     private fun refuse(rejection: AdmissionResult.Rejected) {
@@ -381,10 +386,11 @@
         extra: (HttpHeaders) -> Unit = {},
     ) {
         stage = Stage.DONE
-        endSpan(Verdict.NOT_RUN, status, reason)
-        NodeResponses.sendFailure(call, status, Verdict.NOT_RUN, reason, retryAfterMs = retryAfterMs) {
-            headers.setLoad(it)
-            extra(it)
+        respondAfter({ endSpan(Verdict.NOT_RUN, status, reason) }) {
+            NodeResponses.sendFailure(call, status, Verdict.NOT_RUN, reason, retryAfterMs = retryAfterMs) {
+                headers.setLoad(it)
+                extra(it)
+            }
         }
     }
 
