Act on the review of the stop: silent lingering callers, guarded listeners, deadlines

A connection now lingers for 5 s after its last input, 30 s at most, and a stop waits for connections that still receive input. - An error in closing one listener does not keep the other one open. - Names: a connection is flushed, not delivered, when the operating system has accepted its responses.

--- a/node/src/main/kotlin/dev/lycheehill/node/HttpListener.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/HttpListener.kt
@@ -46,10 +46,10 @@
     val isIdle: Boolean get() = connections.isEmpty
 
     /** Whether no connection can carry a call or has a part of a response that the operating system has not accepted. */
-    val isDelivered: Boolean get() = connections.isDelivered
+    val isFlushed: Boolean get() = connections.isFlushed
 
-    /** Time at which the last responses of a closing connection were accepted by the operating system, a value of [System.nanoTime]. */
-    val lastDeliveryNanos: Long get() = connections.lastDeliveryNanos
+    /** Time at which a connection last began to linger or received input meanwhile, a value of [System.nanoTime]. */
+    val lastLingerNanos: Long get() = connections.lastLingerNanos
 
     /** Unfinished work of the connections. */
     val openWork: OpenWork get() = connections.openWork()
@@ -76,8 +76,9 @@
      * no connection is accepted any more.
      */
     fun closeWhenIdle(): Future<*> {
+        val closed = if (::channel.isInitialized) channel.close() else group.next().newSucceededFuture(null)
         connections.closeWhenIdle()
-        return if (::channel.isInitialized) channel.close() else group.next().newSucceededFuture(null)
+        return closed
     }
 
     /** Reports the calls without a complete response because the node ends. Returns one future for each connection that has any. */
--- a/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/LycheehillNode.kt
@@ -183,7 +183,8 @@
     internal fun closeListeners(timeoutMs: Long) {
         val startNanos = System.nanoTime()
         stopDeadline.set(timeoutMs, startNanos)
-        val closed = listOf(ingressListener, egressListener).map { it.closeWhenIdle() }
+        val steps = StopSteps(stopReport::fail)
+        val closed = listOf(ingressListener, egressListener).mapNotNull { steps.run { it.closeWhenIdle() } }
         awaitAll(closed, startNanos, timeoutMs)
         // The last accepted connections are registered by tasks that precede these.
         awaitAll(group.map { it.submit {} }, startNanos, timeoutMs)
@@ -191,12 +192,12 @@
 
     /**
      * Waits up to [timeoutMs] milliseconds until the responses to all calls are sent, and up to [LINGER_WAIT_MS] of it for callers
-     * that have not closed their connections. Returns whether the responses are sent.
+     * that have not closed their connections and send nothing more. Returns whether the responses are sent.
      */
     internal fun awaitResponses(timeoutMs: Long): Boolean {
         val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
-        while (System.nanoTime() < endNanos && !isIdle() && !hasLingered()) Thread.sleep(IDLE_POLL_PERIOD_MS)
-        return isDelivered()
+        while (System.nanoTime() < endNanos && !isIdle() && !isLingerTimeOver()) Thread.sleep(IDLE_POLL_PERIOD_MS)
+        return isFlushed()
     }
 
     /**
@@ -232,11 +233,11 @@
 
     private fun isIdle() = ingressListener.isIdle && egressListener.isIdle
 
-    private fun isDelivered() = ingressListener.isDelivered && egressListener.isDelivered
+    private fun isFlushed() = ingressListener.isFlushed && egressListener.isFlushed
 
-    private fun hasLingered(): Boolean {
-        val lastDeliveryNanos = maxOf(ingressListener.lastDeliveryNanos, egressListener.lastDeliveryNanos)
-        return isDelivered() && System.nanoTime() - lastDeliveryNanos > TimeUnit.MILLISECONDS.toNanos(LINGER_WAIT_MS)
+    private fun isLingerTimeOver(): Boolean {
+        val lastLingerNanos = maxOf(ingressListener.lastLingerNanos, egressListener.lastLingerNanos)
+        return isFlushed() && System.nanoTime() - lastLingerNanos > TimeUnit.MILLISECONDS.toNanos(LINGER_WAIT_MS)
     }
 
     private fun openWork(source: CallSource): OpenWork =
@@ -306,7 +307,7 @@
         const val IDLE_POLL_PERIOD_MS = 10L
         const val REPORT_TIMEOUT_MS = 100L
 
-        // Callers that keep a connection open and read late are rare, and the node is missing until the process has ended.
+        // A longer wait for callers that keep their connections open would delay the restart of the node.
         const val LINGER_WAIT_MS = 2_900L
         const val MILLIS_PER_SECOND = 1_000.0
         val MAX_SERVICE_IDLE_NANOS = TimeUnit.MINUTES.toNanos(10)
--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -148,8 +148,8 @@
         attempt: EgressAttempt,
         response: CollectedResponse,
     ) {
-        cancelAttemptsExcept(null)
         respondAfter({
+            cancelAttemptsExcept(null)
             finish(Verdict.RAN, response.status, null)
             attempt.end(response.status.toAttemptOutcome(), response.headers)
         }) { responder.sendBackendResponse(response) }
@@ -362,7 +362,10 @@
     private fun onDeadline() {
         if (call.isAnswered && streamingAttempt == null) return
         mayHaveRun = mayHaveRun || runningAttempts.any { it.isSent }
-        cancelAttemptsExcept(null)
+        respondAfter({ cancelAttemptsExcept(null) }, ::endAtDeadline)
+    }
+
+    private fun endAtDeadline() {
         if (streamingAttempt == null) {
             giveUp(CallFailure(Verdict.NOT_RUN, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline"), null)
             return
--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -100,7 +100,7 @@
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
         body = BodyBuffer(ctx.alloc())
-        lingeringClose = LingeringClose(ctx, { connections.onDelivered(this) }, ::onLingerTimeout)
+        lingeringClose = LingeringClose(ctx, { connections.onFlushed(this) }, ::onLingerTimeout)
         connections.add(this)
     }
 
@@ -109,6 +109,7 @@
         msg: Any,
     ) {
         if (isClosing || msg !is HttpObject) {
+            if (isClosing) onLingeringInput()
             if (msg is HttpRequest) reportReleased(msg, CallStage.DISCARDED)
             ReferenceCountUtil.release(msg)
             return
@@ -242,6 +243,11 @@
         if (pendingMessages.isEmpty() && !isClosing) ctx.channel().config().isAutoRead = true
     }
 
+    private fun onLingeringInput() {
+        lingeringClose.onInput()
+        connections.onLingeringInput()
+    }
+
     // A failed write is reported to exceptionCaught before the write returns.
     private inline fun writing(write: () -> Unit) {
         isWriting = true
--- a/node/src/main/kotlin/dev/lycheehill/node/http/ConnectionSet.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/ConnectionSet.kt
@@ -14,11 +14,11 @@
     val size: Int get() = openConnections.size + lingeringConnections.size
 
     /** Whether no connection can carry a call or has a part of a response that the operating system has not accepted. */
-    val isDelivered: Boolean get() = openConnections.isEmpty()
+    val isFlushed: Boolean get() = openConnections.isEmpty()
 
-    /** Time at which the latest connection was delivered, a value of [System.nanoTime]. */
+    /** Time at which a connection last began to linger or received input meanwhile, a value of [System.nanoTime]. */
     @Volatile
-    var lastDeliveryNanos = System.nanoTime()
+    var lastLingerNanos = System.nanoTime()
         private set
 
     val isEmpty: Boolean get() = openConnections.isEmpty() && lingeringConnections.isEmpty()
@@ -29,13 +29,18 @@
     }
 
     /** The operating system has accepted all responses of [connection], which only waits for its caller to close it. */
-    fun onDelivered(connection: CallerConnection) {
-        lastDeliveryNanos = System.nanoTime()
+    fun onFlushed(connection: CallerConnection) {
+        onLingeringInput()
         // Added first, so that the set never looks empty in between.
         lingeringConnections.add(connection)
         openConnections.remove(connection)
     }
 
+    /** A lingering connection has received input. */
+    fun onLingeringInput() {
+        lastLingerNanos = System.nanoTime()
+    }
+
     fun remove(connection: CallerConnection) {
         openConnections.remove(connection)
         lingeringConnections.remove(connection)
--- a/node/src/main/kotlin/dev/lycheehill/node/http/LingeringClose.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/LingeringClose.kt
@@ -11,17 +11,19 @@
  *
  * A socket that is closed with unread input, or that receives input later, sends a TCP reset, which destroys the responses that
  * the caller has not read yet. Therefore only the output is shut down. The input is read, and has to be discarded, until the
- * caller closes the connection, for at most [LINGER_TIMEOUT_MS].
+ * caller closes the connection, for at most [LINGER_TIMEOUT_MS] after its last input and [MAX_LINGER_MS] in all.
  *
- * @param onDelivered called when the operating system has accepted all responses.
+ * @param onFlushed called when the operating system has accepted all responses.
  * @param onTimeout called before the connection is closed because the caller has not closed it in time.
  */
 internal class LingeringClose(
     private val ctx: ChannelHandlerContext,
-    private val onDelivered: () -> Unit,
+    private val onFlushed: () -> Unit,
     private val onTimeout: () -> Unit,
 ) {
     private var timeout: ScheduledFuture<*>? = null
+    private var startNanos = 0L
+    private var lastInputNanos = 0L
 
     /** Starts to close the connection. The caller sees the end of the connection behind the last response. */
     fun start() {
@@ -34,18 +36,34 @@
         timeout?.cancel(false)
     }
 
+    /** The caller has sent input after the close began. */
+    fun onInput() {
+        lastInputNanos = System.nanoTime()
+    }
+
     private fun shutdownOutput() {
-        timeout = ctx.executor().schedule(::closeLate, LINGER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        startNanos = System.nanoTime()
+        lastInputNanos = startNanos
         (ctx.channel() as DuplexChannel).shutdownOutput()
-        onDelivered()
+        onFlushed()
+        closeWhenSilent()
     }
 
-    private fun closeLate() {
+    private fun closeWhenSilent() {
+        val endNanos = minOf(lastInputNanos - startNanos + LINGER_TIMEOUT_NANOS, MAX_LINGER_NANOS) + startNanos
+        val leftNanos = endNanos - System.nanoTime()
+        if (leftNanos > 0) {
+            timeout = ctx.executor().schedule(::closeWhenSilent, leftNanos, TimeUnit.NANOSECONDS)
+            return
+        }
         onTimeout()
         ctx.close()
     }
 
     private companion object {
         const val LINGER_TIMEOUT_MS = 5_000L
+        const val MAX_LINGER_MS = 30_000L
+        val LINGER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(LINGER_TIMEOUT_MS)
+        val MAX_LINGER_NANOS = TimeUnit.MILLISECONDS.toNanos(MAX_LINGER_MS)
     }
 }
--- a/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/program/StoreBackedNode.kt
@@ -107,7 +107,7 @@
 
     private val schedule = StopSchedule.within(settings.graceMs)
 
-    // Created at the start, so that a stop needs no further classes: the files of the program may be replaced while it runs.
+    // Created at the start, because the files of the program may be replaced while it runs.
     private val gracefulStop = GracefulStop(stoppable, schedule, node.stopReport)
 
     @Volatile
@@ -149,13 +149,20 @@
         try {
             gracefulStop.run()
         } catch (e: Throwable) {
-            // The node goes on answering calls. No other class is used, because it may be that no class can be loaded any more.
-            Thread.sleep((schedule.timeoutMs - (System.nanoTime() - startNanos) / NANOS_PER_MILLI).coerceAtLeast(0))
+            // Ends in the same times with as little code as possible, because it may be that no class can be loaded any more.
+            sleepUntil(schedule.drainDelayMs, startNanos)
+            runCatching { node.closeListeners(timeoutMs = schedule.timeoutMs - schedule.drainDelayMs) }
+            sleepUntil(schedule.timeoutMs, startNanos)
             throw e
         }
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
+    private fun sleepUntil(
+        elapsedMs: Long,
+        startNanos: Long,
+    ) = Thread.sleep(maxOf(elapsedMs - (System.nanoTime() - startNanos) / NANOS_PER_MILLI, 0))
+
     /** Stops at once and tells no other node, like a killed process. */
     fun kill() {
         eventLoop.submit(fleet::stop).sync()
--- a/node/src/main/kotlin/dev/lycheehill/node/stop/StopSteps.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/stop/StopSteps.kt
@@ -1,8 +1,7 @@
 package dev.lycheehill.node.stop
 
 /**
- * Runs the steps of a stop. An error of one step is reported, and the next steps still run: a stop that gave up would end the
- * process and with it the calls in flight.
+ * Runs the steps of a stop. An error of one step is reported, and the next steps still run.
  *
  * @param onError receives the error of a step.
  */
--- a/node/src/test/kotlin/dev/lycheehill/node/FailingRecordingTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/FailingRecordingTest.kt
@@ -11,6 +11,8 @@
 import dev.lycheehill.node.tracing.SpanRecorder
 import dev.lycheehill.node.view.InMemoryFleetView
 import dev.lycheehill.standins.backend.BackendHeaders
+import dev.lycheehill.standins.backend.BackendSettings
+import dev.lycheehill.standins.backend.ServiceTimeDistribution
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
@@ -35,6 +37,22 @@
         }
     }
 
+    /** Guards against a call that never ends because its attempt cannot be recorded at the deadline. */
+    @Test
+    fun `a caller gets a response at its deadline although the attempt cannot be recorded`() {
+        val slowBackends = BackendSettings(slots = 10, shortCalls = ServiceTimeDistribution(6_000.0, 6_000.0))
+        TestMesh(targets = 1, backendSettings = slowBackends).use { mesh ->
+            SystemTimerService().use { timers ->
+                val node = startNode(mesh, timers, FailingSpans(Hop.ATTEMPT))
+                RawClient(node.egressAddress).use { caller ->
+                    val headers = mapOf(BackendHeaders.REQUEST_KEY to "k", "lycheehill-deadline-ms" to "1000")
+                    expectThat(caller.call("POST", "/orders", headers).verdict) isEqualTo "may-have-run"
+                }
+                node.kill()
+            }
+        }
+    }
+
     /** Guards against a response that the caller's node never gets because the recording beside the backend server fails. */
     @Test
     fun `a caller gets the response although the node of the backend server cannot record the call`() {
--- a/node/src/test/kotlin/dev/lycheehill/node/stop/StopScheduleTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/stop/StopScheduleTest.kt
@@ -8,10 +8,10 @@
 import strikt.assertions.isLessThan
 
 class StopScheduleTest {
-    /** Guards against a stop that cuts calls although the platform grants more time, or that the platform kills. */
+    /** Guards against a stop that cuts calls although the platform grants more time. */
     @ParameterizedTest
     @CsvSource("1000, 400", "3000, 1200", "6000, 2300", "10000, 2300", "60000, 2300")
-    fun `a stop waits for calls up to the last sixth of the grace period and ends within it`(
+    fun `a stop waits for calls up to the last sixth of the grace period and not beyond it`(
         graceMs: Long,
         drainDelayMs: Long,
     ) {
