Keep the state of an outer write across a nested one, and shorten a comment

A write that is nested in another one ended the outer one's state, so a failure of the rest of the outer write would not have closed the connection. Found by reading; no test shows it.

--- a/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/http/CallerConnection.kt
@@ -250,9 +250,10 @@
 
     // A failed write is reported to exceptionCaught before the write returns.
     private inline fun writing(write: () -> Unit) {
+        val wasWriting = isWriting
         isWriting = true
         write()
-        isWriting = false
+        isWriting = wasWriting
     }
 
     // Answers the calls in progress and processes no further message, because parts of the next request may be missing.
--- a/node/src/main/kotlin/dev/lycheehill/node/stop/GracefulStop.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/stop/GracefulStop.kt
@@ -8,8 +8,10 @@
  * Stops a node within the grace period of its platform: refuses new calls to the backend server, serves callers until they use
  * other nodes, closes the listeners, waits for the responses to the calls in flight, and leaves the fleet.
  *
- * The process ends after the last step and cuts off the calls that still run. Neither an error of a step nor a late event loop may
- * therefore shorten the wait for the responses: it ends only at the time of the schedule, which counts from the begin of the stop.
+ * The process ends after the last step, so neither an error of a step nor a late event loop shortens the wait for the responses.
+ *
+ * @param schedule times of the steps, counted from the begin of the stop.
+ * @param report log of the phases.
  */
 internal class GracefulStop(
     private val node: StoppableNode,
