Reject responses whose status line is no status line

What callers saw: a backend server that is in trouble answered with the status 000, and its caller got "HTTP/1.1 0 Zero" with the seal of the backend server (MIXED). Likewise 600 and 999, two or four digits, a sign, blanks or tabs in other places, a control byte in the reason phrase, HTTP/0.9, HTTP/2.0 or http/1.1, and bytes in front of the status line.

Cause: the decoder of Netty parses the status code as any whole number and splits the line at any white space; it skips control bytes and white space in front of the line. UpstreamConnection trusts what it decodes.

Fix: StrictResponseDecoder in the new module http checks the status line before a message is made of it.

--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/ResponseDecoder.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/ResponseDecoder.kt
@@ -1,11 +1,11 @@
 package dev.lycheehill.node.upstream
 
+import dev.lycheehill.http.StrictResponseDecoder
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
 
 /**
@@ -14,13 +14,10 @@
  * Bytes that arrive while no response is expected close the connection. The HTTP decoder alone would keep the beginning of a
  * head without emitting a message, and read it as the beginning of the next response.
  */
-internal class ResponseDecoder : HttpResponseDecoder() {
+internal class ResponseDecoder : StrictResponseDecoder() {
     // Method of the request whose response is expected; null if no response is expected.
     private var requestMethod: HttpMethod? = null
 
-    // The default implementation reads the annotations of the class by reflection, which slows the start by some milliseconds.
-    override fun isSharable(): Boolean = false
-
     /** Expects the response to a request with [method]. */
     fun expectResponse(method: HttpMethod) {
         requestMethod = method
