Reject responses with a field name that is no token, and folded lines

What callers saw: a backend server sent "X Blank: 1" in the head of its response, and its caller got the response without an error. With "X-Response-Seal : other" the caller got the changed seal, with "Content Length: 2" the line "Content: 2". The same happened in interim responses, in trailers, and with lines that start with a blank, which were joined to the value before them, for example to the seal.

Cause: for responses, the decoder of Netty ends a name at the first blank and ignores what stands between the blank and the colon, so that its validation of names sees the beginning only. It unfolds lines that start with a blank, and drops the folded part of a trailer.

Fix: StrictResponseDecoder requires the colon right behind the name, where the decoder splits the line, and looks for folded lines in the bytes of a head or of trailers.

--- a/http/src/main/kotlin/dev/lycheehill/http/StrictResponseDecoder.kt
+++ b/http/src/main/kotlin/dev/lycheehill/http/StrictResponseDecoder.kt
@@ -9,14 +9,18 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AsciiString
 
 /**
- * Response decoder that accepts only what RFC 9112 defines as a response. The decoder of Netty is more lenient with status lines.
+ * Response decoder that accepts only what RFC 9112 defines as a response. The decoder of Netty is more lenient with status lines
+ * and with whitespace in the names of fields.
  *
  * A malformed message has a failed [HttpObject.decoderResult]. The receiver has to close the connection then.
  */
 open class StrictResponseDecoder : HttpResponseDecoder() {
-    private var isAtStart = true
+    private var section = Section.START
+    private var isAtLineStart = false
+    private var hasFoldedLine = false
 
     // The default implementation reads the annotations of the class by reflection, which slows the start by some milliseconds.
     override fun isSharable(): Boolean = false
@@ -26,10 +30,12 @@
         buffer: ByteBuf,
         out: MutableList<Any>,
     ) {
-        if (isAtStart && buffer.isReadable && !startHead(buffer, out)) return
+        if (section == Section.START && buffer.isReadable && !startHead(buffer, out)) return
+        val decodedFrom = buffer.readerIndex()
         val firstNew = out.size
         super.decode(ctx, buffer, out)
-        if (out.size > firstNew && out.last() is LastHttpContent) isAtStart = true
+        if (section == Section.HEAD || section == Section.TRAILERS) findFoldedLine(buffer, decodedFrom)
+        for (index in firstNew until out.size) onDecoded(out[index] as HttpObject)
     }
 
     override fun createMessage(initialLine: Array<String>): HttpMessage {
@@ -63,6 +69,17 @@
         return super.splitThirdWordInitialLine(line, start, length)
     }
 
+    // The decoder of Netty ends a name at the first blank and ignores the bytes between the blank and the colon.
+    override fun splitHeaderName(
+        line: ByteArray,
+        start: Int,
+        length: Int,
+    ): AsciiString {
+        require(length > 0 && line[start + length] == COLON) { "field name contains whitespace" }
+        if (section == Section.BODY) section = Section.TRAILERS
+        return super.splitHeaderName(line, start, length)
+    }
+
     // The decoder of Netty skips control characters and whitespace in front of a status line.
     private fun startHead(
         buffer: ByteBuf,
@@ -73,15 +90,46 @@
             out.add(createInvalidMessage().also { it.decoderResult = failure("response does not start with a version") })
             return false
         }
-        isAtStart = false
+        section = Section.HEAD
+        isAtLineStart = false
+        hasFoldedLine = false
         return true
     }
 
+    private fun findFoldedLine(
+        buffer: ByteBuf,
+        from: Int,
+    ) {
+        val end = buffer.readerIndex()
+        var index = from
+        while (index < end) {
+            val first = buffer.getByte(index)
+            if (isAtLineStart && (first == SPACE || first == TAB)) hasFoldedLine = true
+            val lineFeed = buffer.indexOf(index, end, LINE_FEED)
+            isAtLineStart = lineFeed >= 0
+            index = if (isAtLineStart) lineFeed + 1 else end
+        }
+    }
+
+    private fun onDecoded(message: HttpObject) {
+        // Line folding is obsolete; a line that starts with a blank may as well be a field with a malformed name.
+        if (hasFoldedLine && (message is HttpResponse || message is LastHttpContent)) {
+            hasFoldedLine = false
+            message.decoderResult = failure("folded line")
+        }
+        if (message is HttpResponse) section = Section.BODY
+        if (message is LastHttpContent) section = Section.START
+    }
+
     private fun failure(reason: String) = DecoderResult.failure(IllegalArgumentException(reason))
 
+    private enum class Section { START, HEAD, BODY, TRAILERS }
+
     private companion object {
         const val FIRST_OF_VERSION = 'H'.code.toByte()
         const val SPACE = ' '.code.toByte()
         const val TAB = '\t'.code.toByte()
+        const val LINE_FEED = '\n'.code.toByte()
+        const val COLON = ':'.code.toByte()
     }
 }
