Reject responses with a transfer coding that nobody asked for

What callers saw: a body with "Transfer-Encoding: gzip, chunked" reached its caller without the chunks, still compressed, and without a header that says so: not the body of the backend server. With "gzip" or "identity" alone the call lasted until its deadline.

Cause: the decoder of Netty removes the coding "chunked" wherever it stands, and a node forwards no Transfer-Encoding header.

--- a/http/src/main/kotlin/dev/lycheehill/http/StrictResponseDecoder.kt
+++ b/http/src/main/kotlin/dev/lycheehill/http/StrictResponseDecoder.kt
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -117,10 +119,19 @@
             hasFoldedLine = false
             message.decoderResult = failure("folded line")
         }
-        if (message is HttpResponse) section = Section.BODY
+        if (message is HttpResponse) {
+            section = Section.BODY
+            if (!hasKnownTransferCoding(message)) message.decoderResult = failure("unknown transfer coding")
+        }
         if (message is LastHttpContent) section = Section.START
     }
 
+    // No request accepts another transfer coding, and without it the body could not be forwarded.
+    private fun hasKnownTransferCoding(response: HttpResponse): Boolean {
+        val codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        return codings.isEmpty() || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.singleOrNull()?.trim())
+    }
+
     private fun failure(reason: String) = DecoderResult.failure(IllegalArgumentException(reason))
 
     private enum class Section { START, HEAD, BODY, TRAILERS }
