Do not take an interrupted response for a complete one

What callers saw: a backend server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a body without a length ends with its connection, and the decoder of Netty emits its end whenever the channel becomes inactive. A reset that is noticed by a read raises an exception first, which fails the exchange. A reset that is noticed by a write only fails the write, and the channel is closed without an exception: the decoder then ends the body as if the peer had closed it in order.

Fix: the decoder judges the end in one place, decodeLast. It ends a body only if the whole request was written and no error was seen on the connection. The caller gets 502 at once, or its stream is cut without a last chunk. An orderly end while the request is still being written counts as interrupted, too: the peer has not read the request, and a process that dies can look the same.

--- a/http/src/main/kotlin/dev/lycheehill/http/StrictResponseDecoder.kt
+++ b/http/src/main/kotlin/dev/lycheehill/http/StrictResponseDecoder.kt
@@ -14,15 +14,22 @@
 import io.netty.util.AsciiString
 
 /**
- * Response decoder that accepts only what RFC 9112 defines as a response. The decoder of Netty is more lenient with status lines
- * and with whitespace in the names of fields.
+ * Response decoder that accepts only what RFC 9112 defines as a response. The decoder of Netty is more lenient with status lines,
+ * with whitespace in the names of fields, and with the end of a connection.
  *
  * A malformed message has a failed [HttpObject.decoderResult]. The receiver has to close the connection then.
  */
 open class StrictResponseDecoder : HttpResponseDecoder() {
+    /**
+     * Whether the request was written completely. While it is not, the end of the connection does not end a body without a length:
+     * the peer has not read the request, so it may have been interrupted.
+     */
+    var isRequestSent = true
+
     private var section = Section.START
     private var isAtLineStart = false
     private var hasFoldedLine = false
+    private var hasConnectionFailed = false
 
     // The default implementation reads the annotations of the class by reflection, which slows the start by some milliseconds.
     override fun isSharable(): Boolean = false
@@ -40,6 +47,24 @@
         for (index in firstNew until out.size) onDecoded(out[index] as HttpObject)
     }
 
+    override fun exceptionCaught(
+        ctx: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        hasConnectionFailed = true
+        super.exceptionCaught(ctx, cause)
+    }
+
+    // Called when the connection has ended. The decoder of Netty takes any end, also a reset, for the end of a body without a length.
+    override fun decodeLast(
+        ctx: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        val isOrderlyEnd = isRequestSent && !hasConnectionFailed
+        if (isOrderlyEnd) super.decodeLast(ctx, buffer, out) else buffer.skipBytes(buffer.readableBytes())
+    }
+
     override fun createMessage(initialLine: Array<String>): HttpMessage {
         val (version, statusCode, reasonPhrase) = initialLine
         require(ResponseSyntax.isVersion(version)) { "invalid HTTP version" }
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/ResponseDecoder.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/ResponseDecoder.kt
@@ -21,6 +21,7 @@
     /** Expects the response to a request with [method]. */
     fun expectResponse(method: HttpMethod) {
         requestMethod = method
+        isRequestSent = false
     }
 
     /** Expects no response until the next call of [expectResponse]. Takes effect for the bytes behind the message emitted last. */
--- a/node/src/main/kotlin/dev/lycheehill/node/upstream/UpstreamConnection.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/upstream/UpstreamConnection.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -29,7 +30,6 @@
     private lateinit var ctx: ChannelHandlerContext
     private var exchange: Exchange? = null
     private var headSent = false
-    private var requestSent = false
     private var responseEnded = false
     private var isSkipping = false
     private var isReusable = true
@@ -51,7 +51,6 @@
     fun start(next: Exchange) {
         exchange = next
         headSent = false
-        requestSent = false
         responseEnded = false
         isSkipping = false
         decoder.expectResponse(next.head.method())
@@ -100,7 +99,7 @@
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
         exchange?.onReadComplete()
         if (!responseEnded || exchange == null) return
-        if (!isUsable || !requestSent) {
+        if (!isUsable || !decoder.isRequestSent) {
             close()
             return
         }
@@ -177,7 +176,7 @@
         val written = ctx.writeAndFlush(request)
         // After a failed write, the peer has no complete request and cannot have executed the call.
         headSent = !written.isDone || written.isSuccess
-        requestSent = headSent
+        trackRequest(next, written)
     }
 
     private fun sendWithBody(
@@ -187,10 +186,17 @@
         val headWritten = ctx.write(next.head)
         val bodyWritten = ctx.writeAndFlush(DefaultLastHttpContent(body))
         headSent = !headWritten.isDone || headWritten.isSuccess
-        if (bodyWritten.isDone) {
-            requestSent = bodyWritten.isSuccess
+        trackRequest(next, bodyWritten)
+    }
+
+    private fun trackRequest(
+        next: Exchange,
+        written: ChannelFuture,
+    ) {
+        if (written.isDone) {
+            decoder.isRequestSent = written.isSuccess
         } else {
-            bodyWritten.addListener { if (exchange === next) requestSent = it.isSuccess }
+            written.addListener { if (exchange === next) decoder.isRequestSent = it.isSuccess }
         }
     }
 
