Read the responses of the log and of nodes with the strict decoder in commands, too

What was seen: an append that the log answered with "HTTP/1.1 4290 Long" was reported as not run, which is a promise; with "2000 Long", a tab instead of the space, a control byte in the reason phrase, a line without a name or a colon, or a folded line it was reported as stored. Commands reported a success for four such responses of a node. The load generator counted them as successes as well.

Cause: the HTTP client of the JDK reads three characters at a fixed place of the status line and skips lines that are no fields; it does not show the line. The load generator used the decoder of Netty without a check of the result.

Fix: BlockingHttpClient uses StrictResponseDecoder, for the log, the commands and the callers of the demo, so the rule stands in one place. Each request has a connection of its own; nothing on a connection can belong to another request. The load generator uses the same decoder.

--- a/cli/src/main/kotlin/dev/lycheehill/cli/Main.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/Main.kt
@@ -1,6 +1,5 @@
 package dev.lycheehill.cli
 
-import dev.lycheehill.cli.client.HttpClients
 import dev.lycheehill.cli.command.LycheehillCommand
 import picocli.CommandLine
 import kotlin.system.exitProcess
@@ -11,15 +10,13 @@
 }
 
 /** Creates the command line with all commands. */
-fun newCommandLine(): CommandLine {
-    HttpClients.allowHostHeader()
-    return CommandLine(LycheehillCommand())
+fun newCommandLine(): CommandLine =
+    CommandLine(LycheehillCommand())
         .setUsageHelpWidth(USAGE_WIDTH)
         .setCaseInsensitiveEnumValuesAllowed(true)
         .setExecutionExceptionHandler { exception, commandLine, _ ->
             commandLine.err.println("lycheehill: ${exception.message ?: exception.javaClass.simpleName}")
             ExitCode.FAILED
         }
-}
 
 private const val USAGE_WIDTH = 100
--- a/cli/src/main/kotlin/dev/lycheehill/cli/client/NodeClient.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/client/NodeClient.kt
@@ -6,12 +6,13 @@
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import dev.lycheehill.cli.output.Json
+import dev.lycheehill.http.BlockingHttpClient
+import dev.lycheehill.http.HttpCall
+import dev.lycheehill.http.HttpResult
 import dev.lycheehill.node.settings.HostPort
 import java.io.IOException
 import java.net.URI
 import java.net.URLEncoder
-import java.net.http.HttpRequest
-import java.net.http.HttpResponse
 import java.time.Duration
 
 /**
@@ -24,7 +25,7 @@
     val address: HostPort,
     private val timeout: Duration = Duration.ofSeconds(5),
 ) {
-    private val http = HttpClients.create(timeout)
+    private val http = BlockingHttpClient(timeout.toMillis())
 
     /** Sends a `GET` request to [path]. */
     fun get(
@@ -53,25 +54,20 @@
         query: Map<String, String>,
         body: JsonNode? = null,
     ): Either<ClientError, JsonNode> {
-        val publisher = body?.let { HttpRequest.BodyPublishers.ofString(it.toString()) } ?: HttpRequest.BodyPublishers.noBody()
-        val request =
-            HttpRequest
-                .newBuilder(URI.create("http://$address$path${encodeQuery(query)}"))
-                .timeout(timeout)
-                .method(method, publisher)
-                .build()
+        val uri = URI.create("http://$address$path${encodeQuery(query)}")
+        val call = HttpCall(method, uri, body = body?.toString()?.encodeToByteArray(), timeoutMs = timeout.toMillis())
         return try {
-            toResult(http.send(request, HttpResponse.BodyHandlers.ofString()))
+            toResult(http.send(call))
         } catch (e: IOException) {
             ClientError("node $address does not respond: ${e.message ?: e.javaClass.simpleName}").left()
         }
     }
 
-    private fun toResult(response: HttpResponse<String>): Either<ClientError, JsonNode> {
-        val document = parseBody(response.body())
-        if (response.statusCode() < MIN_ERROR_STATUS) return document.right()
-        val text = document.path("message").textValue() ?: document.path("error").textValue() ?: response.body().trim()
-        return ClientError("node $address responded with status ${response.statusCode()}: $text", response.statusCode()).left()
+    private fun toResult(response: HttpResult): Either<ClientError, JsonNode> {
+        val document = parseBody(response.text)
+        if (response.status < MIN_ERROR_STATUS) return document.right()
+        val text = document.path("message").textValue() ?: document.path("error").textValue() ?: response.text.trim()
+        return ClientError("node $address responded with status ${response.status}: $text", response.status).left()
     }
 
     // Some responses are plain text, such as the response of a health check.
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/Demo.kt
@@ -1,8 +1,7 @@
 package dev.lycheehill.cli.demo
 
-import dev.lycheehill.cli.client.HttpClients
+import dev.lycheehill.http.BlockingHttpClient
 import java.io.PrintWriter
-import java.time.Duration
 import java.util.Random
 
 /**
@@ -58,7 +57,7 @@
     }
 
     private fun newLoad(mesh: DemoMesh): DemoLoad {
-        val http = HttpClients.create(connectTimeout = Duration.ofSeconds(1))
+        val http = BlockingHttpClient(CONNECT_TIMEOUT_MS)
         val keys = UuidV7(Random(seed + 2))
         val newKey = { keys.next(System.currentTimeMillis()).toString() }
         val callers = mesh.live.map { own -> DemoCaller(deployment.host, { mesh.egressAddresses(own) }, http, newKey = newKey) }
@@ -109,6 +108,7 @@
     private fun elapsedMs(): Long = (System.nanoTime() - startNanos) / 1_000_000
 
     private companion object {
+        const val CONNECT_TIMEOUT_MS = 1_000L
         const val READY_TIMEOUT_MS = 10_000L
         const val STEADY_MS = 1_500L
         const val STOP_TIMEOUT_MS = 13_000L
--- a/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoCaller.kt
+++ b/cli/src/main/kotlin/dev/lycheehill/cli/demo/DemoCaller.kt
@@ -1,12 +1,12 @@
 package dev.lycheehill.cli.demo
 
 import dev.lycheehill.core.Verdict
+import dev.lycheehill.http.BlockingHttpClient
+import dev.lycheehill.http.HttpCall
+import dev.lycheehill.http.HttpResult
 import java.io.IOException
 import java.net.ConnectException
 import java.net.URI
-import java.net.http.HttpClient
-import java.net.http.HttpRequest
-import java.net.http.HttpResponse
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -27,7 +27,7 @@
 class DemoCaller(
     private val host: String,
     private val addresses: () -> List<String>,
-    private val http: HttpClient,
+    private val http: BlockingHttpClient,
     private val timeout: Duration = Duration.ofSeconds(12),
     private val newKey: () -> String,
 ) {
@@ -64,7 +64,7 @@
         outcomeSoFar: RequestOutcome,
     ): Step =
         try {
-            evaluate(request, http.send(httpRequest(request, key, node), HttpResponse.BodyHandlers.ofString()), outcomeSoFar)
+            evaluate(request, http.send(httpCall(request, key, node)), outcomeSoFar)
         } catch (_: ConnectException) {
             Step.Retry(outcomeSoFar, OTHER_NODE_DELAY_MS, useOtherNode = true)
         } catch (_: IOException) {
@@ -73,15 +73,15 @@
 
     private fun evaluate(
         request: DemoRequest,
-        response: HttpResponse<String>,
+        response: HttpResult,
         outcomeSoFar: RequestOutcome,
     ): Step {
-        val verdict = Verdict.fromHeader(response.headers().firstValue("lycheehill-verdict").orElse(null))
+        val verdict = Verdict.fromHeader(response.header("lycheehill-verdict"))
         return when {
             verdict == Verdict.NOT_RUN -> Step.Retry(outcomeSoFar, retryAfterMs(response))
-            verdict == Verdict.RAN && response.statusCode() == OK -> Step.Done(checkBody(request, response.body()))
+            verdict == Verdict.RAN && response.status == OK -> Step.Done(checkBody(request, response.text))
             // A node responds with 409 and the verdict `ran` when the request with this key has already run.
-            verdict == Verdict.RAN && response.statusCode() == CONFLICT -> Step.Done(RequestOutcome.SUCCEEDED)
+            verdict == Verdict.RAN && response.status == CONFLICT -> Step.Done(RequestOutcome.SUCCEEDED)
             verdict == Verdict.MAY_HAVE_RUN && request.isRepeatable -> Step.Retry(outcomeSoFar, OTHER_NODE_DELAY_MS)
             verdict == Verdict.MAY_HAVE_RUN -> Step.Retry(RequestOutcome.MAY_HAVE_RUN, MAY_HAVE_RUN_DELAY_MS)
             else -> Step.Done(RequestOutcome.FAILED)
@@ -93,27 +93,19 @@
         body: String,
     ): RequestOutcome = if (body.startsWith("${request.id} ")) RequestOutcome.SUCCEEDED else RequestOutcome.WRONG_RESPONSE
 
-    private fun httpRequest(
+    private fun httpCall(
         request: DemoRequest,
         key: String?,
         node: String,
-    ): HttpRequest {
-        val builder =
-            HttpRequest
-                .newBuilder(URI.create("http://$node${request.path}"))
-                .timeout(RESPONSE_TIMEOUT)
-                .header("host", host)
-                .header("x-request-key", request.id)
-        key?.let { builder.header("idempotency-key", it).POST(HttpRequest.BodyPublishers.ofString("order ${request.id}")) }
-        return builder.build()
+    ): HttpCall {
+        val uri = URI.create("http://$node${request.path}")
+        val headers = mapOf("host" to host, "x-request-key" to request.id)
+        if (key == null) return HttpCall("GET", uri, headers, timeoutMs = RESPONSE_TIMEOUT_MS)
+        return HttpCall("POST", uri, headers + ("idempotency-key" to key), "order ${request.id}".encodeToByteArray(), RESPONSE_TIMEOUT_MS)
     }
 
-    private fun retryAfterMs(response: HttpResponse<String>): Long =
-        response
-            .headers()
-            .firstValueAsLong("lycheehill-retry-after-ms")
-            .orElse(DEFAULT_RETRY_AFTER_MS)
-            .coerceIn(1, MAX_RETRY_AFTER_MS)
+    private fun retryAfterMs(response: HttpResult): Long =
+        (response.header("lycheehill-retry-after-ms")?.toLongOrNull() ?: DEFAULT_RETRY_AFTER_MS).coerceIn(1, MAX_RETRY_AFTER_MS)
 
     private sealed interface Step {
         data class Done(
@@ -134,6 +126,6 @@
         const val MAX_RETRY_AFTER_MS = 1_000L
         const val OTHER_NODE_DELAY_MS = 20L
         const val MAY_HAVE_RUN_DELAY_MS = 300L
-        val RESPONSE_TIMEOUT: Duration = Duration.ofSeconds(5)
+        const val RESPONSE_TIMEOUT_MS = 5_000L
     }
 }
--- a/cli/src/test/kotlin/dev/lycheehill/cli/demo/DemoCallerTest.kt
+++ b/cli/src/test/kotlin/dev/lycheehill/cli/demo/DemoCallerTest.kt
@@ -1,7 +1,7 @@
 package dev.lycheehill.cli.demo
 
 import com.sun.net.httpserver.HttpServer
-import dev.lycheehill.cli.client.HttpClients
+import dev.lycheehill.http.BlockingHttpClient
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
@@ -25,10 +25,6 @@
     private val keyCount = AtomicInteger(1)
     private val address get() = "127.0.0.1:${server.address.port}"
 
-    init {
-        HttpClients.allowHostHeader()
-    }
-
     @AfterEach
     fun stop() {
         server.stop(0)
@@ -86,9 +82,17 @@
     }
 
     private fun caller(addresses: () -> List<String>) =
-        DemoCaller("bobbins.example", addresses, HttpClients.create(Duration.ofSeconds(1)), timeout = Duration.ofMillis(1_500), newKey = {
-            "k${keyCount.incrementAndGet()}"
-        })
+        DemoCaller(
+            "bobbins.example",
+            addresses,
+            BlockingHttpClient(
+                connectTimeoutMs = 1_000,
+            ),
+            timeout = Duration.ofMillis(1_500),
+            newKey = {
+                "k${keyCount.incrementAndGet()}"
+            },
+        )
 
     // Repeats the last response.
     private fun serve(answers: List<String>) {
--- a/measure/src/main/kotlin/dev/lycheehill/measure/calls/LoadClient.kt
+++ b/measure/src/main/kotlin/dev/lycheehill/measure/calls/LoadClient.kt
@@ -1,5 +1,6 @@
 package dev.lycheehill.measure.calls
 
+import dev.lycheehill.http.StrictResponseDecoder
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -10,10 +11,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
 import java.net.InetSocketAddress
 
@@ -65,7 +66,9 @@
         private val connection: Connection,
     ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAX_RESPONSE_BYTES), connection)
+            channel
+                .pipeline()
+                .addLast(HttpRequestEncoder(), StrictResponseDecoder(), HttpObjectAggregator(MAX_RESPONSE_BYTES), connection)
         }
     }
 
@@ -97,6 +100,10 @@
             ctx: ChannelHandlerContext,
             msg: FullHttpResponse,
         ) {
+            if (msg.decoderResult().isFailure) {
+                ctx.close()
+                return
+            }
             isBusy = false
             tally?.recordResponse(msg.status().code(), System.nanoTime() - dueNanos)
             idleConnections.addLast(this)
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/http/HttpErrorMapper.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/http/HttpErrorMapper.kt
@@ -1,12 +1,11 @@
 package dev.lycheehill.platformlog.http
 
 import dev.lycheehill.core.Verdict
+import dev.lycheehill.http.HttpResult
 import dev.lycheehill.platformlog.LogError
 import java.io.IOException
 import java.net.ConnectException
-import java.net.http.HttpConnectTimeoutException
-import java.net.http.HttpResponse
-import java.net.http.HttpTimeoutException
+import java.net.SocketTimeoutException
 
 /** Maps failures of HTTP calls to [LogError]. The verdicts are those of an append; a read overrides them. */
 internal object HttpErrorMapper {
@@ -14,16 +13,15 @@
 
     fun toLogError(failure: IOException): LogError =
         when (failure) {
-            is HttpConnectTimeoutException, is ConnectException ->
-                LogError(LogError.Kind.UNAVAILABLE, Verdict.NOT_RUN, "no connection to the log: ${failure.message}")
-            is HttpTimeoutException -> LogError(LogError.Kind.TIMEOUT, Verdict.MAY_HAVE_RUN, "the log did not respond in time")
+            is ConnectException -> LogError(LogError.Kind.UNAVAILABLE, Verdict.NOT_RUN, "no connection to the log: ${failure.message}")
+            is SocketTimeoutException -> LogError(LogError.Kind.TIMEOUT, Verdict.MAY_HAVE_RUN, "the log did not respond in time")
             else -> LogError(LogError.Kind.UNAVAILABLE, Verdict.MAY_HAVE_RUN, "connection to the log failed: ${failure.message}")
         }
 
     // By the protocol, the log responds with 429 or 503 only before an append takes effect. Other server errors may come
     // from an intermediary that has already forwarded the append.
-    fun toLogError(response: HttpResponse<*>): LogError {
-        val status = response.statusCode()
+    fun toLogError(response: HttpResult): LogError {
+        val status = response.status
         val message = "the log responded with status $status"
         return when (status) {
             429 -> LogError(LogError.Kind.RATE_LIMITED, Verdict.NOT_RUN, message, retryAfterMs(response))
@@ -37,11 +35,5 @@
     fun unreadableResponse(detail: String?): LogError =
         LogError(LogError.Kind.UNAVAILABLE, Verdict.MAY_HAVE_RUN, "unreadable response from the log: $detail")
 
-    private fun retryAfterMs(response: HttpResponse<*>): Long? =
-        response
-            .headers()
-            .firstValue("retry-after")
-            .map { it.toLongOrNull() }
-            .orElse(null)
-            ?.times(MS_PER_S)
+    private fun retryAfterMs(response: HttpResult): Long? = response.header("retry-after")?.toLongOrNull()?.times(MS_PER_S)
 }
--- a/platform-log/src/main/kotlin/dev/lycheehill/platformlog/http/HttpPlatformLog.kt
+++ b/platform-log/src/main/kotlin/dev/lycheehill/platformlog/http/HttpPlatformLog.kt
@@ -5,34 +5,27 @@
 import arrow.core.left
 import arrow.core.right
 import dev.lycheehill.core.Verdict
+import dev.lycheehill.http.BlockingHttpClient
+import dev.lycheehill.http.HttpCall
 import dev.lycheehill.platformlog.LogError
 import dev.lycheehill.platformlog.LogPage
 import dev.lycheehill.platformlog.PlatformLog
 import java.io.IOException
 import java.net.URI
 import java.net.URLEncoder
-import java.net.http.HttpClient
-import java.net.http.HttpRequest
-import java.net.http.HttpResponse
-import java.time.Duration
 
 /** HTTP client of the log service. Thread-safe. Calls throw [InterruptedException] when the thread is interrupted. */
 class HttpPlatformLog(
     private val settings: HttpLogSettings,
 ) : PlatformLog {
-    private val client =
-        HttpClient
-            .newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofMillis(settings.connectTimeoutMs))
-            .build()
+    private val client = BlockingHttpClient(settings.connectTimeoutMs)
 
     override fun append(
         stream: String,
         payload: ByteArray,
     ): Either<LogError, Long> {
-        val request = newRequest(recordsPath(stream), waitMs = 0).POST(HttpRequest.BodyPublishers.ofByteArray(payload)).build()
-        return send(request).flatMap { body -> parse { LogJson.decodeAppendResponse(body) } }
+        val call = HttpCall("POST", uri(recordsPath(stream)), body = payload, timeoutMs = settings.requestTimeoutMs)
+        return send(call).flatMap { body -> parse { LogJson.decodeAppendResponse(body) } }
     }
 
     override fun read(
@@ -43,7 +36,7 @@
     ): Either<LogError, LogPage> {
         // A failed read has no effect on the log, so that its verdict is always NOT_RUN.
         val query = "?from=$fromOffset&max=$maxRecords&wait_ms=$waitMs"
-        return send(newRequest(recordsPath(stream) + query, waitMs).GET().build())
+        return send(HttpCall("GET", uri(recordsPath(stream) + query), timeoutMs = settings.requestTimeoutMs + waitMs))
             .flatMap { body -> parse { LogJson.decodePage(body) } }
             .flatMap { page ->
                 if (page.isValid(fromOffset)) page.right() else HttpErrorMapper.unreadableResponse("the page has invalid offsets").left()
@@ -54,20 +47,14 @@
         firstRetainedOffset in 0..nextOffset &&
             entries.withIndex().all { (index, entry) -> entry.offset == fromOffset + index && entry.offset < nextOffset }
 
-    private fun newRequest(
-        path: String,
-        waitMs: Long,
-    ): HttpRequest.Builder =
-        HttpRequest
-            .newBuilder(URI.create(settings.baseUri.toString().removeSuffix("/") + path))
-            .timeout(Duration.ofMillis(settings.requestTimeoutMs + waitMs))
+    private fun uri(path: String): URI = URI.create(settings.baseUri.toString().removeSuffix("/") + path)
 
     private fun recordsPath(stream: String) = "/v1/streams/${URLEncoder.encode(stream, Charsets.UTF_8)}/records"
 
-    private fun send(request: HttpRequest): Either<LogError, ByteArray> =
+    private fun send(call: HttpCall): Either<LogError, ByteArray> =
         try {
-            val response = client.send(request, HttpResponse.BodyHandlers.ofByteArray())
-            if (response.statusCode() == 200) response.body().right() else HttpErrorMapper.toLogError(response).left()
+            val response = client.send(call)
+            if (response.status == 200) response.body.right() else HttpErrorMapper.toLogError(response).left()
         } catch (e: IOException) {
             HttpErrorMapper.toLogError(e).left()
         }
--- a/standins/src/test/kotlin/dev/lycheehill/standins/log/HttpPlatformLogTest.kt
+++ b/standins/src/test/kotlin/dev/lycheehill/standins/log/HttpPlatformLogTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Timeout
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
@@ -48,6 +49,55 @@
         }
     }
 
+    /** Guards against a malformed response that is taken for a stored record, or for a promise that the record is not stored. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "HTTP/1.1 000 Zero~", "HTTP/1.1 099 Low~", "HTTP/1.1 600 High~", "HTTP/1.1 999 High~", "HTTP/1.1 20 Short~",
+            "HTTP/1.1 2000 Long~",
+            "HTTP/1.1 4290 Long~", "HTTP/1.1 0429 Long~", "HTTP/1.1 +29 Sign~", "HTTP/1.1 4x9 Letter~", "HTTP/1.1  200 Blanks~",
+            "HTTP/1.1\t200 Tab~", "HTTP/1.1 200 Con\u0001trol~", "HTTP/2.0 200 Version~", "XTTP/1.1 200 Version~", "HTTP/1.1 101 Protocol~",
+            "HTTP/1.1 102 Processing~~HTTP/1.1 000 Zero~", "HTTP/1.1 100 Continue~~HTTP/1.1 000 Zero~",
+            "HTTP/1.1 200 OK~X Blank: 1~", "HTTP/1.1 200 OK~X-Blank : 1~", "HTTP/1.1 200 OK~X-Con\u0001trol: 1~", "HTTP/1.1 200 OK~: 1~",
+            "HTTP/1.1 200 OK~No-Colon~", "HTTP/1.1 200 OK~X: a\u0001b~", "HTTP/1.1 200 OK~ X-Blank: 1~", "HTTP/1.1 200 OK~X-A: 1~ folded~",
+        ],
+    )
+    fun `a malformed response to an append leaves its outcome open`(head: String) {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+            thread(isDaemon = true) {
+                server.accept().use { socket ->
+                    socket.getInputStream().read(ByteArray(4_096))
+                    val text = head.replace("~", "\r\n") + "Content-Length: 12\r\n\r\n{\"offset\":1}"
+                    socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
+                }
+            }
+            val result = client(server.localPort).append("config", ByteArray(1))
+            expectThat(result.leftOrNull()?.verdict).describedAs("$result") isEqualTo Verdict.MAY_HAVE_RUN
+        }
+    }
+
+    /** Guards against the beginning of a response that is taken for the whole response. */
+    @ParameterizedTest
+    @CsvSource("1, true", "$LONG_PAYLOAD, true", "$LONG_PAYLOAD, false")
+    fun `a response to an append that is interrupted leaves its outcome open`(
+        payloadBytes: Int,
+        isReset: Boolean,
+    ) {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+            thread(isDaemon = true) {
+                server.accept().use { socket ->
+                    socket.getInputStream().read(ByteArray(64))
+                    socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\n{\"offset\":1}".toByteArray())
+                    Thread.sleep(50)
+                    if (isReset) socket.setSoLinger(true, 0) else socket.shutdownOutput()
+                    Thread.sleep(200)
+                }
+            }
+            val result = client(server.localPort).append("config", ByteArray(payloadBytes))
+            expectThat(result.leftOrNull()?.verdict).describedAs("$result") isEqualTo Verdict.MAY_HAVE_RUN
+        }
+    }
+
     @Test
     fun `an append over a refused connection has the verdict not run`() {
         val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
@@ -101,4 +151,8 @@
             socket.getOutputStream().write(rawResponse.toByteArray())
         }
     }
+
+    private companion object {
+        const val LONG_PAYLOAD = 7_340_032
+    }
 }
