--- a/cli/src/test/kotlin/dev/lycheehill/cli/client/NodeClientTest.kt
+++ b/cli/src/test/kotlin/dev/lycheehill/cli/client/NodeClientTest.kt
@@ -1,17 +1,23 @@
 package dev.lycheehill.cli.client
 
 import dev.lycheehill.node.settings.HostPort
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import strikt.assertions.startsWith
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.time.Duration
+import java.util.concurrent.CompletableFuture
 import kotlin.concurrent.thread
 
 class NodeClientTest {
+    private val requestText = CompletableFuture<String>()
+
     /** Guards against a command that reports a success without a proper response of the node. */
     @ParameterizedTest
     @ValueSource(
@@ -40,14 +46,27 @@
         expectThat(get(text).leftOrNull()).isNull()
     }
 
-    private fun get(response: String) =
+    /** Guards against a node that waits for a body that does not follow. */
+    @Test
+    fun `a POST request without a body states that its length is 0`() {
+        call("HTTP/1.1 200 OK~Content-Length: 2~~{}") { it.post("/v1/drain") }
+        expectThat(requestText.get().lowercase()).startsWith("post /v1/drain http/1.1\r\n").contains("content-length: 0\r\n")
+    }
+
+    private fun get(response: String) = call(response) { it.get("/v1/status") }
+
+    private fun <T> call(
+        response: String,
+        send: (NodeClient) -> T,
+    ): T =
         ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
             thread(isDaemon = true) {
                 server.accept().use { socket ->
-                    socket.getInputStream().read(ByteArray(4_096))
+                    val buffer = ByteArray(4_096)
+                    requestText.complete(String(buffer, 0, socket.getInputStream().read(buffer), Charsets.ISO_8859_1))
                     socket.getOutputStream().write(response.replace("~", "\r\n").toByteArray(Charsets.ISO_8859_1))
                 }
             }
-            NodeClient(HostPort("127.0.0.1", server.localPort), Duration.ofSeconds(2)).get("/v1/status")
+            send(NodeClient(HostPort("127.0.0.1", server.localPort), Duration.ofSeconds(2)))
         }
 }
--- a/http/src/main/kotlin/dev/lycheehill/http/BlockingHttpClient.kt
+++ b/http/src/main/kotlin/dev/lycheehill/http/BlockingHttpClient.kt
@@ -65,17 +65,17 @@
     }
 
     private fun requestOf(call: HttpCall): FullHttpRequest {
-        val target =
-            call.uri.rawPath.ifEmpty { "/" } +
-                call.uri.rawQuery
-                    ?.let { "?$it" }
-                    .orEmpty()
+        val query =
+            call.uri.rawQuery
+                ?.let { "?$it" }
+                .orEmpty()
+        val target = call.uri.rawPath.ifEmpty { "/" } + query
         val content = call.body?.let(Unpooled::wrappedBuffer) ?: Unpooled.EMPTY_BUFFER
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), target, content)
         request.headers().set(HttpHeaderNames.HOST, call.uri.authority)
         call.headers.forEach { (name, value) -> request.headers().set(name, value) }
         request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        call.body?.let { request.headers().set(HttpHeaderNames.CONTENT_LENGTH, it.size) }
+        if (call.method != "GET") request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
         return request
     }
 
