Do not report a failed attempt as not run when its end cannot be recorded

What callers saw: 504 with the verdict "not run", a promise, for a request that may have run.

Cause: EgressCall noted that an attempt may have run only after it had recorded the attempt's end. When the recording fails, the note is missing, the attempt counts as over, and the call is answered at its deadline as if nothing had been sent.

Fix: the note, and the server error that is kept for the caller, come before the recording.

--- a/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
+++ b/node/src/main/kotlin/dev/lycheehill/node/egress/EgressCall.kt
@@ -129,6 +129,8 @@
         failure: ExchangeFailure,
     ) {
         runningAttempts.remove(attempt)
+        // Set before the end of the attempt is recorded, because an error of the recording must not make the verdict "not run".
+        if (failure.verdict != Verdict.NOT_RUN) mayHaveRun = true
         val unreachable = failure.kind == ExchangeFailure.Kind.CONNECT
         attempt.end(if (unreachable) AttemptOutcome.UNREACHABLE else AttemptOutcome.FAILURE, null)
         if (attempt === streamingAttempt) {
@@ -137,7 +139,7 @@
             return
         }
         if (failure.kind == ExchangeFailure.Kind.SILENT) environment.metrics.countSilentConnection()
-        if (failure.verdict == Verdict.NOT_RUN) attempt.giveBackRetries() else mayHaveRun = true
+        if (failure.verdict == Verdict.NOT_RUN) attempt.giveBackRetries()
         val status = if (failure.kind == ExchangeFailure.Kind.SILENT) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.BAD_GATEWAY
         retryOrFail(
             CallFailure(failure.verdict, status, failure.kind.reason, arrived = failure.verdict != Verdict.NOT_RUN, available = false),
@@ -160,9 +162,9 @@
         attempt: EgressAttempt,
         response: CollectedResponse,
     ) {
-        attempt.end(AttemptOutcome.FAILURE, response.headers)
-        responder.keepResponse(response)
         mayHaveRun = true
+        responder.keepResponse(response)
+        attempt.end(AttemptOutcome.FAILURE, response.headers)
         retryOrFail(CallFailure(Verdict.RAN, response.status, "backend-failed", serverError = true))
     }
 
@@ -217,9 +219,9 @@
         attempt: EgressAttempt,
         response: CollectedResponse,
     ) {
+        mayHaveRun = true
         response.body.release()
         attempt.end(AttemptOutcome.FAILURE, response.headers)
-        mayHaveRun = true
         retryOrFail(
             CallFailure(
                 Verdict.MAY_HAVE_RUN,
