--- a/node/src/test/kotlin/dev/lycheehill/node/FailingRecordingTest.kt
+++ b/node/src/test/kotlin/dev/lycheehill/node/FailingRecordingTest.kt
@@ -58,24 +58,25 @@
     @ParameterizedTest
     @ValueSource(strings = ["HTTP/1.1 000 Zero~", "HTTP/1.1 502 Bad~lycheehill-verdict: may-have-run~", ""])
     fun `a failed attempt that cannot be recorded leaves the outcome of a call open`(head: String) {
-        RawPeer { socket, requestHead ->
-            val id = requestHead.firstOrNull { it.startsWith("lh-id") }.orEmpty()
-            val text = if (head.isEmpty()) "" else "${head.replace("~", "\r\n")}$id\r\nContent-Length: 0\r\n\r\n"
-            socket.getOutputStream().write(text.encodeToByteArray())
-        }.use { peer ->
-            TestMesh(targets = 1).use { mesh ->
-                SystemTimerService().use { timers ->
-                    mesh.fleet.update("target-0") { it.copy(dataAddress = peer.address) }
-                    val node = startNode(mesh, timers, FailingSpans(Hop.ATTEMPT))
-                    RawClient(node.egressAddress).use { caller ->
-                        val headers = mapOf("lycheehill-deadline-ms" to "300")
-                        expectThat(caller.call("POST", "/orders", headers).verdict) isEqualTo "may-have-run"
-                    }
-                    expectThat(peer.requestCount.get()) isEqualTo 1
-                    node.kill()
+        val peer =
+            RawPeer { socket, requestHead ->
+                val id = requestHead.firstOrNull { it.startsWith("lh-id") }.orEmpty()
+                val text = if (head.isEmpty()) "" else "${head.replace("~", "\r\n")}$id\r\nContent-Length: 0\r\n\r\n"
+                socket.getOutputStream().write(text.encodeToByteArray())
+            }
+        TestMesh(targets = 1).use { mesh ->
+            SystemTimerService().use { timers ->
+                mesh.fleet.update("target-0") { it.copy(dataAddress = peer.address) }
+                val node = startNode(mesh, timers, FailingSpans(Hop.ATTEMPT))
+                RawClient(node.egressAddress).use { caller ->
+                    val headers = mapOf("lycheehill-deadline-ms" to "300")
+                    expectThat(caller.call("POST", "/orders", headers).verdict) isEqualTo "may-have-run"
                 }
+                expectThat(peer.requestCount.get()) isEqualTo 1
+                node.kill()
             }
         }
+        peer.close()
     }
 
     /** Guards against a response that the caller's node never gets because the recording beside the backend server fails. */
